--- a/cmd/samphired/main.go
+++ b/cmd/samphired/main.go
@@ -6,8 +6,9 @@
 
 	"samphirewell/internal/cli"
 	"samphirewell/internal/entry"
+	"samphirewell/platform"
 )
 
 func main() {
-	os.Exit(cli.RunDaemon(cli.OSEnv(), os.Args[1:], entry.Serve))
+	os.Exit(cli.RunDaemon(cli.OSEnv(), os.Args[1:], entry.Serve, platform.Run))
 }
--- /dev/null
+++ b/internal/batch/batch.go
@@ -0,0 +1,187 @@
+// Package batch holds the types that all parts of job scheduling on a fleet of workers share: jobs and their steps, the
+// policy set by operators, and workers. Packages that speak an outside protocol translate into these types.
+package batch
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Room is an amount of a worker's resources.
+type Room struct {
+	MilliCores   int `json:"c,omitempty"` // thousandths of a core
+	MemoryMB     int `json:"m,omitempty"` // MB
+	Accelerators int `json:"a,omitempty"`
+}
+
+// Plus returns the sum.
+func (r Room) Plus(o Room) Room {
+	return Room{r.MilliCores + o.MilliCores, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
+}
+
+// Minus returns the difference; it may be negative.
+func (r Room) Minus(o Room) Room {
+	return Room{r.MilliCores - o.MilliCores, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
+}
+
+// Holds reports whether o fits into r.
+func (r Room) Holds(o Room) bool {
+	return fits(r.MilliCores, o.MilliCores) && fits(r.MemoryMB, o.MemoryMB) && fits(r.Accelerators, o.Accelerators)
+}
+
+// fits lets a zero need through on a resource that is already overcommitted.
+func fits(have, need int) bool { return need == 0 || have >= need }
+
+// Times returns how often o fits into r, at most limit.
+func (r Room) Times(o Room, limit int) int {
+	n := limit
+	for _, p := range [3][2]int{{r.MilliCores, o.MilliCores}, {r.MemoryMB, o.MemoryMB}, {r.Accelerators, o.Accelerators}} {
+		if p[1] > 0 {
+			n = min(n, max(0, p[0]/p[1]))
+		}
+	}
+	return n
+}
+
+// acceleratorCores is the number of cores that an accelerator counts for when work is compared; the figure is the users'.
+const acceleratorCores = 8
+
+// CoreEquivalents weighs the resources as a number of cores.
+func (r Room) CoreEquivalents() float64 {
+	return float64(r.MilliCores)/1000 + acceleratorCores*float64(r.Accelerators)
+}
+
+// Step is a number of equal tasks of a job.
+type Step struct {
+	Tasks        int           `json:"n"`
+	Need         Room          `json:"need"`
+	Estimate     time.Duration `json:"est,omitempty"`   // rough run time of a task
+	After        []int         `json:"after,omitempty"` // steps whose tasks must be done before
+	Checkpoints  bool          `json:"ckpt,omitempty"`
+	Gang         bool          `json:"gang,omitempty"`     // the tasks run only together
+	SameRack     bool          `json:"rack,omitempty"`     // the tasks are slow when they are on several racks
+	Requires     string        `json:"req,omitempty"`      // label that the worker must have
+	DataRack     string        `json:"data,omitempty"`     // the tasks are slow on other racks
+	MaxPerWorker int           `json:"apart,omitempty"`    // most tasks of an occurrence on one worker; 0 means no limit
+	LongRunning  bool          `json:"long,omitempty"`     // the tasks run until the job is cancelled
+	TailTarget   time.Duration `json:"tail,omitempty"`     // bound of the response times of tasks that serve
+	Filler       bool          `json:"fill,omitempty"`     // uses processor time that others leave
+	MayMiss      int           `json:"may_miss,omitempty"` // long-running tasks that may be away at a time
+}
+
+// Schedule repeats the steps of a job.
+type Schedule struct {
+	Count      int   `json:"n"`     // number of occurrences
+	FirstMS    int64 `json:"first"` // due time of the first one, Unix milliseconds
+	IntervalMS int64 `json:"every"`
+}
+
+// Job is an accepted job as it is stored. Queue holds the settings of the queue at the time of acceptance.
+type Job struct {
+	ID       string    `json:"id"`
+	Queue    Queue     `json:"queue"`
+	Team     string    `json:"team"`
+	Payload  string    `json:"payload"` // passed to the workers unchanged
+	Steps    []Step    `json:"steps"`
+	Schedule *Schedule `json:"schedule,omitempty"`
+	// AcceptedMS is the time of day of acceptance by the clock of the accepting host, Unix milliseconds. Clocks of hosts differ by some
+	// milliseconds and may jump: it orders jobs and measures ages, nothing else.
+	AcceptedMS int64 `json:"at"`
+}
+
+// Occurrences returns how often the steps run.
+func (j *Job) Occurrences() int {
+	if j.Schedule == nil {
+		return 1
+	}
+	return j.Schedule.Count
+}
+
+// Due returns when an occurrence may start, Unix milliseconds; 0 means at once.
+func (j *Job) Due(occurrence int) int64 {
+	if j.Schedule == nil {
+		return 0
+	}
+	return j.Schedule.FirstMS + int64(occurrence)*j.Schedule.IntervalMS
+}
+
+// Check returns what is wrong with the steps of a submitted job, or an empty string.
+func (j *Job) Check() string {
+	if len(j.Steps) == 0 {
+		return "a job needs at least one step"
+	}
+	for i, s := range j.Steps {
+		if s.Tasks < 1 {
+			return fmt.Sprintf("step %d has no tasks", i)
+		}
+		for _, a := range s.After {
+			if a < 0 || a >= i {
+				return fmt.Sprintf("step %d depends on step %d, which is not an earlier one", i, a)
+			}
+		}
+	}
+	return ""
+}
+
+// TaskID names a task.
+type TaskID struct {
+	Job                     string
+	Occurrence, Step, Index int
+}
+
+// String returns the name that workers know: JOB.OCCURRENCE.STEP.INDEX.
+func (t TaskID) String() string {
+	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+}
+
+// ParseTaskID reads the form of String.
+func ParseTaskID(s string) (TaskID, bool) {
+	p := strings.Split(s, ".")
+	if len(p) != 4 {
+		return TaskID{}, false
+	}
+	var n [3]int
+	for i, text := range p[1:] {
+		v, err := strconv.Atoi(text)
+		if err != nil || v < 0 {
+			return TaskID{}, false
+		}
+		n[i] = v
+	}
+	return TaskID{p[0], n[0], n[1], n[2]}, true
+}
+
+// State is the state of a job as callers see it.
+type State string
+
+// States of a job.
+const (
+	Pending   State = "pending"
+	Running   State = "running"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Final reports whether the state doesn't change any more.
+func (s State) Final() bool { return s == Completed || s == Failed || s == Cancelled }
+
+// Worker is what the registry says of a worker.
+type Worker struct {
+	ID        string
+	Service   string
+	Address   string
+	Domain    string // failure domain
+	Rack      string
+	Labels    []string
+	Capacity  Room
+	Draining  bool
+	Remaining time.Duration // least time left while it drains
+	Boot      int64         // Unix milliseconds of its start; identifies one life of the worker
+}
+
+// HasLabel reports whether the worker has the label; every worker has the empty one.
+func (w *Worker) HasLabel(label string) bool { return label == "" || slices.Contains(w.Labels, label) }
--- /dev/null
+++ b/internal/batchhost/host.go
@@ -0,0 +1,307 @@
+// Package batchhost wires one entry host for job scheduling: it follows the configuration and the states of jobs, serves callers, and
+// leads when it is elected.
+package batchhost
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"samphirewell/internal/batch"
+	"samphirewell/internal/dispatch"
+	"samphirewell/internal/intake"
+	"samphirewell/internal/lead"
+	"samphirewell/internal/rowstore"
+)
+
+const (
+	// statesInterval is the shortest time between two reads of the states of jobs. Callers see a state at most this much later.
+	statesInterval = 120 * time.Millisecond
+	// inboxInterval is the shortest time between two reads of the inbox by the leader; it delays starts by half of it on average.
+	inboxInterval = 30 * time.Millisecond
+	// claimEvery is the period in which a host looks whether it should lead.
+	claimEvery = 50 * time.Millisecond
+	// restoreRetry is the pause after a failed read of what earlier leaders have stored.
+	restoreRetry = 100 * time.Millisecond
+	// cleanupTimeout bounds one transaction that replaces an ended job by a tombstone.
+	cleanupTimeout = time.Second
+	// readyAge is the age of the configuration up to which a host takes new connections. Two reads may fail.
+	readyAge = 3 * time.Second
+)
+
+// Sources follow what operators and workers write. The functions return at the end of ctx.
+type Sources interface {
+	// FollowPolicy reports each configuration that is read.
+	FollowPolicy(ctx context.Context, report func(*batch.Policy))
+	// PolicyAge returns for how long the newest configuration has not been confirmed.
+	PolicyAge() time.Duration
+	// FollowWorkers reports the whole list of workers at each change.
+	FollowWorkers(ctx context.Context, report func([]batch.Worker))
+}
+
+// Options are what a host needs.
+type Options struct {
+	HostID  string
+	Boot    string // identifies this process among all that ran on the host
+	Store   rowstore.Store
+	Sources Sources
+	Links   dispatch.Links
+	Bounds  dispatch.Bounds
+	Clock   dispatch.Clock
+	Metrics Metrics
+	Log     logrus.FieldLogger
+}
+
+// Metrics receives measurements of a host.
+type Metrics interface {
+	dispatch.Metrics
+	Leading(epoch uint64) // 0 when the host doesn't lead
+}
+
+// Host is one entry host.
+type Host struct {
+	options Options
+	intake  *intake.Intake
+	watch   *lead.Watch
+	states  *rowstore.Follower
+
+	mu     sync.Mutex
+	runner *dispatch.Runner // while leading
+}
+
+var leaderKey = rowstore.Key{Table: dispatch.TableStates, Part: dispatch.Part, Key: dispatch.LeaderKey}
+
+// New returns a host that doesn't run yet.
+func New(o Options) *Host {
+	h := &Host{options: o, watch: lead.NewWatch(leaderKey, o.HostID)}
+	h.intake = intake.New(o.Store, o.Sources.PolicyAge, o.Log)
+	h.states = rowstore.NewFollower(o.Store, dispatch.TableStates, []string{dispatch.Part}, stateRows{h}, statesInterval, o.Log)
+	return h
+}
+
+// Intake returns the part that serves callers.
+func (h *Host) Intake() *intake.Intake { return h.intake }
+
+// Ready reports whether the host should get new connections of callers.
+func (h *Host) Ready() bool {
+	return h.intake.Policy() != nil && h.options.Sources.PolicyAge() < readyAge
+}
+
+// stateRows passes the rows of the table of states on.
+type stateRows struct{ h *Host }
+
+// Reset implements rowstore.Handler.
+func (s stateRows) Reset(rows []rowstore.Row) {
+	s.h.watch.Observe(rows, true, time.Now())
+	s.h.intake.States().Reset(rows)
+}
+
+// Changed implements rowstore.Handler.
+func (s stateRows) Changed(rows []rowstore.Row) {
+	s.h.watch.Observe(rows, false, time.Now())
+	s.h.intake.States().Changed(rows)
+}
+
+// Run follows the tables until serve ends, and leads when elected until leading ends. Leadership is given back before Run returns.
+func (h *Host) Run(serve, leading context.Context) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() { h.states.Run(serve) })
+	group.Go(func() { h.options.Sources.FollowPolicy(serve, h.setPolicy) })
+	h.leadLoop(leading)
+}
+
+func (h *Host) setPolicy(p *batch.Policy) {
+	if old := h.intake.Policy(); old == nil || p.Version > old.Version {
+		h.options.Log.WithFields(logrus.Fields{"version": p.Version, "queues": len(p.Queues), "teams": len(p.Teams)}).Info("configuration in force")
+	}
+	h.intake.SetPolicy(p)
+	h.mu.Lock()
+	r := h.runner
+	h.mu.Unlock()
+	if r != nil {
+		r.Do(func(c *dispatch.Core, _ time.Duration) { c.SetPolicy(p) })
+	}
+}
+
+// leadLoop claims leadership whenever that is due, until ctx ends.
+func (h *Host) leadLoop(ctx context.Context) {
+	ticker := time.NewTicker(claimEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		if age := h.states.Age(now); age < time.Duration(1<<62) {
+			h.watch.Fresh(now.Add(-age))
+		}
+		if row, due := h.watch.ClaimDue(now); due && h.intake.Policy() != nil {
+			h.tryLead(ctx, row)
+		}
+	}
+}
+
+func (h *Host) tryLead(ctx context.Context, observed rowstore.Row) {
+	log := h.options.Log
+	session, err := lead.Claim(ctx, h.options.Store, leaderKey, observed, h.options.HostID, h.options.Boot)
+	if err != nil {
+		log.WithError(err).Info("claim of leadership failed")
+		return
+	}
+	log.WithFields(logrus.Fields{"epoch": session.Epoch(), "observed_version": observed.Version}).Info("leading")
+	h.options.Metrics.Leading(session.Epoch())
+	err = h.lead(ctx, session)
+	h.options.Metrics.Leading(0)
+	log.WithFields(logrus.Fields{"epoch": session.Epoch()}).WithError(err).Info("stopped leading")
+}
+
+// lead restores the state of earlier leaders and leads until ctx ends or another host leads.
+func (h *Host) lead(ctx context.Context, session *lead.Session) error {
+	run, stop := context.WithCancel(ctx)
+	defer stop()
+	core := dispatch.New(session.Epoch(), h.intake.Policy(), h.options.Bounds, h.options.Log)
+	version, err := h.restore(run, core)
+	if err != nil {
+		return err
+	}
+	r := dispatch.NewRunner(core, session, h.options.Links, h.options.Clock, h.options.Metrics, h.options.Log)
+	h.mu.Lock()
+	h.runner = r
+	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		h.runner = nil
+		h.mu.Unlock()
+	}()
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer stop()
+	inbox := rowstore.NewFollower(h.options.Store, intake.TableInbox, intake.InboxParts(), inboxRows{h, r}, inboxInterval, h.options.Log)
+	inbox.StartAt(version)
+	group.Go(func() { inbox.Run(run) })
+	group.Go(func() {
+		h.options.Sources.FollowWorkers(run, func(list []batch.Worker) {
+			r.Do(func(c *dispatch.Core, now time.Duration) { c.SetWorkers(list, now) })
+		})
+	})
+	group.Go(func() { h.cleanup(run, r) })
+	return r.Run(ctx)
+}
+
+// restore reads what earlier leaders have stored and returns the version from which the inbox is followed.
+func (h *Host) restore(ctx context.Context, core *dispatch.Core) (uint64, error) {
+	for {
+		version, err := h.tryRestore(ctx, core)
+		if err == nil {
+			return version, nil
+		}
+		h.options.Log.WithError(err).Warn("could not read the stored jobs")
+		select {
+		case <-ctx.Done():
+			return 0, errors.WithStack(ctx.Err())
+		case <-time.After(restoreRetry):
+		}
+	}
+}
+
+func (h *Host) tryRestore(ctx context.Context, core *dispatch.Core) (uint64, error) {
+	s := h.options.Store
+	states, _, err := rowstore.ScanAll(ctx, s, dispatch.TableStates, []string{dispatch.Part})
+	if err != nil {
+		return 0, err
+	}
+	tasks, _, err := rowstore.ScanAll(ctx, s, dispatch.TableTasks, []string{dispatch.Part})
+	if err != nil {
+		return 0, err
+	}
+	inbox, version, err := rowstore.ScanAll(ctx, s, intake.TableInbox, intake.InboxParts())
+	if err != nil {
+		return 0, err
+	}
+	var jobs []batch.Job
+	var cancels []string
+	for _, r := range inbox {
+		switch e, err := intake.DecodeEntry(r); {
+		case err != nil:
+			h.options.Log.WithField("row", r.Key.Key).WithError(err).Error("unreadable submission")
+		case e.Cancel:
+			cancels = append(cancels, e.ID)
+		case !e.Ended:
+			jobs = append(jobs, e.Job)
+		}
+	}
+	sortByAcceptance(jobs)
+	now := h.options.Clock.SinceBoot()
+	core.Restore(jobs, states, tasks, now)
+	for _, id := range cancels {
+		core.Cancel(id, now)
+	}
+	return version, nil
+}
+
+// inboxRows passes submissions and cancel requests to the leader's core.
+type inboxRows struct {
+	h *Host
+	r *dispatch.Runner
+}
+
+// Reset implements rowstore.Handler.
+func (i inboxRows) Reset(rows []rowstore.Row) { i.Changed(rows) }
+
+// Changed implements rowstore.Handler.
+func (i inboxRows) Changed(rows []rowstore.Row) {
+	var entries []intake.Entry
+	for _, r := range rows {
+		if r.Deleted {
+			continue
+		}
+		e, err := intake.DecodeEntry(r)
+		if err != nil {
+			i.h.options.Log.WithField("row", r.Key.Key).WithError(err).Error("unreadable submission")
+			continue
+		}
+		entries = append(entries, e)
+	}
+	i.r.Do(func(c *dispatch.Core, now time.Duration) {
+		for _, e := range entries {
+			switch {
+			case e.Cancel:
+				c.Cancel(e.ID, now)
+			case !e.Ended:
+				c.AddJob(e.Job, now)
+			}
+		}
+	})
+}
+
+// cleanup replaces the submissions of ended jobs by tombstones. A failed one is repeated by the next leader.
+func (h *Host) cleanup(ctx context.Context, r *dispatch.Runner) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		var ids []string
+		r.Do(func(c *dispatch.Core, _ time.Duration) { ids = c.TakeRetired() })
+		for _, id := range ids {
+			h.tidy(ctx, intake.EndJob(id), id)
+		}
+	}
+}
+
+func (h *Host) tidy(ctx context.Context, tx rowstore.Tx, id string) {
+	ctx, cancel := context.WithTimeout(ctx, cleanupTimeout)
+	defer cancel()
+	if _, err := h.options.Store.Commit(ctx, tx); err != nil {
+		h.options.Log.WithField("job", id).WithError(err).Info("submission of an ended job stays for now")
+	}
+}
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -190,7 +190,7 @@
 			started++
 			must.Eq(t, "entry-montego-a-1", s.HostID)
 			return fail
-		})
+		}, nil)
 		return code, out.String()
 	}
 	code, out := run(nil, "--settings", good, "--check")
--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os/signal"
 	"syscall"
 
@@ -18,20 +19,36 @@
 // StartFunc runs an entry host until ctx ends, then stops it gracefully and returns.
 type StartFunc func(ctx context.Context, s api.Settings, log *logrus.Logger) error
 
+// HostFunc runs a host whose settings are found in its environment until ctx ends; it logs to out.
+type HostFunc func(ctx context.Context, out io.Writer) error
+
 // daemon is the grammar of samphired.
 type daemon struct {
+	Serve    serveCommand `cmd:"" default:"withargs" help:"Run an entry host with a settings file (the default)."`
+	Platform struct{}     `cmd:"" help:"Run an entry host on the users' platform, which gives it its settings."`
+}
+
+// serveCommand runs an entry host with the product's own interfaces.
+type serveCommand struct {
 	Settings string `required:"" type:"existingfile" help:"Settings of this host in JSON with comments." placeholder:"FILE"`
 	Check    bool   `help:"Check the settings and exit."`
 }
 
 // RunDaemon runs samphired with the given arguments and returns its exit code: ExitOK after a graceful stop, ExitRefused
 // for refused settings or a failed start, ExitUsage for a wrong command line.
-func RunDaemon(env Env, args []string, start StartFunc) int {
+func RunDaemon(env Env, args []string, start StartFunc, platform HostFunc) int {
 	var grammar daemon
-	_, code := parse(env, "samphired", daemonDescription, &grammar, args, nil)
+	command, code := parse(env, "samphired", daemonDescription, &grammar, args, nil)
 	if code >= 0 {
 		return code
 	}
+	if command.Command() == "platform" {
+		return exitOf(env, untilStopped(env, func(ctx context.Context) error { return platform(ctx, env.Stdout) }))
+	}
+	return runServe(env, grammar.Serve, start)
+}
+
+func runServe(env Env, grammar serveCommand, start StartFunc) int {
 	s, err := settings.Load(grammar.Settings)
 	if err != nil {
 		_, _ = fmt.Fprintf(env.Stderr, "samphired: settings refused:\n%v\n", err)
@@ -45,14 +62,23 @@
 }
 
 func serve(env Env, s api.Settings, start StartFunc) int {
-	ctx, stop := signal.NotifyContext(env.Context, syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	context.AfterFunc(ctx, stop) // a second signal has its default effect
 	if start == nil {
 		_, _ = fmt.Fprintln(env.Stderr, "samphired: this build has no entry host to start")
 		return ExitRefused
 	}
-	if err := start(ctx, s, newLog(env, s)); err != nil {
+	return exitOf(env, untilStopped(env, func(ctx context.Context) error { return start(ctx, s, newLog(env, s)) }))
+}
+
+// untilStopped runs f with a context that ends at the first SIGTERM or SIGINT.
+func untilStopped(env Env, f func(ctx context.Context) error) error {
+	ctx, stop := signal.NotifyContext(env.Context, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	context.AfterFunc(ctx, stop) // a second signal has its default effect
+	return f(ctx)
+}
+
+func exitOf(env Env, err error) int {
+	if err != nil {
 		_, _ = fmt.Fprintf(env.Stderr, "samphired: %v\n", err)
 		return ExitRefused
 	}
--- /dev/null
+++ b/internal/dispatch/core.go
@@ -0,0 +1,261 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"samphirewell/internal/batch"
+)
+
+// Bounds are the limits that workers and operators set.
+type Bounds struct {
+	LeaseMax   time.Duration // longest lease that a worker grants
+	StopMax    time.Duration // longest time that a stop takes
+	FarFactor  float64       // run time on a rack without the data, relative to the rack with it
+	GangWait   time.Duration // a member of a gang ends if the others don't come in this time
+	DrainLimit time.Duration // a draining worker gets no start later than this after its notice
+	Checkpoint time.Duration // work between two checkpoints
+}
+
+const (
+	// authorityAfterCommit is how long a leader acts after the sending of its last successful write. It bridges short outages
+	// of the table; leases that were renewed at its end bridge longer ones.
+	authorityAfterCommit = 4 * time.Second
+	// clockRate is the slowest rate of a worker's clock relative to ours.
+	clockRate = 0.98
+	// lapseMargin is added to computed ends of leases, for timers that fire late.
+	lapseMargin = 100 * time.Millisecond
+)
+
+// Core is the state of the leading host. It isn't safe for concurrent use.
+type Core struct {
+	epoch   uint64
+	bounds  Bounds
+	log     logrus.FieldLogger
+	policy  *batch.Policy
+	jobs    map[string]*job
+	live    []*job // jobs that aren't final, in order of arrival
+	ended   map[string]batch.State
+	workers map[string]*worker
+	seq     int
+
+	rows    rowQueue
+	effects []effect
+	orders  []Order
+	wakes   []string // workers whose reading has to go on
+	retire  []string // ids of ended jobs whose submission may be replaced by a tombstone
+	dirty   bool     // something changed since the last plan
+	freeze  bool     // no new starts
+	deposed bool
+	times   runTimes
+	wall    int64         // time of day of the last Tick, Unix milliseconds
+	now     time.Duration // of the present call
+}
+
+// New returns the core of a new leader. now is the time at which its epoch was stored.
+func New(epoch uint64, policy *batch.Policy, bounds Bounds, log logrus.FieldLogger) *Core {
+	return &Core{epoch: epoch, bounds: bounds, log: log, policy: policy, jobs: map[string]*job{}, ended: map[string]batch.State{},
+		workers: map[string]*worker{}, rows: rowQueue{marked: map[rowID]bool{}}, dirty: true, times: runTimes{}}
+}
+
+// Epoch returns the leader's epoch.
+func (c *Core) Epoch() uint64 { return c.epoch }
+
+// Deposed reports whether a worker or the table has shown a newer leader.
+func (c *Core) Deposed() bool { return c.deposed }
+
+// Freeze ends new starts, before the host gives up leading.
+func (c *Core) Freeze() { c.freeze = true }
+
+// SetPolicy takes a new configuration.
+func (c *Core) SetPolicy(p *batch.Policy) {
+	if c.policy == nil || p.Version > c.policy.Version {
+		c.policy = p
+		c.dirty = true
+	}
+}
+
+// TakeOrders returns the orders to send now.
+func (c *Core) TakeOrders() []Order {
+	out := c.orders
+	c.orders = nil
+	return out
+}
+
+// TakeRetired returns the ids of ended jobs whose end is stored.
+func (c *Core) TakeRetired() []string {
+	out := c.retire
+	c.retire = nil
+	return out
+}
+
+// AddJob takes in an accepted job. Adding a known job again has no effect.
+func (c *Core) AddJob(j batch.Job, now time.Duration) {
+	if c.jobs[j.ID] != nil {
+		return
+	}
+	if _, over := c.ended[j.ID]; over {
+		return
+	}
+	n := c.insert(j, now)
+	c.rows.mark(stateRow(j.ID))
+	c.logJob(n).Info("job queued")
+	c.openSteps(n, now)
+}
+
+func (c *Core) insert(j batch.Job, now time.Duration) *job {
+	n := &job{Job: j, seq: c.seq, state: batch.Pending, known: now}
+	c.seq++
+	n.stepsLeft = j.Occurrences() * len(j.Steps)
+	n.steps = make([][]*stepState, j.Occurrences())
+	for k := range n.steps {
+		n.steps[k] = make([]*stepState, len(j.Steps))
+		for i, s := range j.Steps {
+			n.steps[k][i] = &stepState{left: s.Tasks}
+		}
+	}
+	c.jobs[j.ID] = n
+	c.live = append(c.live, n)
+	c.dirty = true
+	return n
+}
+
+// Cancel ends a job for its caller. The stored cancel request is the proof that it lasts.
+func (c *Core) Cancel(id string, now time.Duration) {
+	j := c.jobs[id]
+	if j == nil || j.ending() {
+		return
+	}
+	j.cancelled = true
+	c.logJob(j).Info("job cancelled")
+	c.finish(j, batch.Cancelled, now)
+}
+
+// finish makes a state final and ends what still runs.
+func (c *Core) finish(j *job, s batch.State, now time.Duration) {
+	j.state, j.endedAt = s, now
+	c.rows.mark(stateRow(j.ID))
+	c.afterStored(stateRow(j.ID), func() { c.retireJob(j) })
+	c.logJob(j).WithField("after_ms", (now - j.known).Milliseconds()).Info("job ended")
+	for _, steps := range j.steps {
+		for _, s := range steps {
+			for _, u := range s.units {
+				c.stopUnit(u, now, "job_ended")
+			}
+		}
+	}
+	c.dirty = true
+}
+
+// retireJob forgets a job whose end is stored, and deletes its task rows.
+func (c *Core) retireJob(j *job) {
+	c.ended[j.ID] = j.state
+	delete(c.jobs, j.ID)
+	for i, l := range c.live {
+		if l == j {
+			c.live = append(c.live[:i], c.live[i+1:]...)
+			break
+		}
+	}
+	for k, steps := range j.steps {
+		for s, st := range steps {
+			if st.opened {
+				for chunk := 0; chunk*chunkTasks < j.Steps[s].Tasks; chunk++ {
+					c.rows.remove(rowID{kind: taskRows, job: j.ID, occurrence: k, step: s, chunk: chunk})
+				}
+			}
+		}
+	}
+	c.retire = append(c.retire, j.ID)
+}
+
+func (c *Core) logJob(j *job) *logrus.Entry {
+	return c.log.WithFields(logrus.Fields{"job": j.ID, "queue": j.Queue.Name, "team": j.Team, "state": string(j.state)})
+}
+
+// openSteps makes tasks of the steps whose predecessors are done and whose time has come.
+func (c *Core) openSteps(j *job, now time.Duration) {
+	if j.ending() {
+		return
+	}
+	for k, steps := range j.steps {
+		for i, s := range steps {
+			if !s.opened && c.mayOpen(j, k, i) {
+				c.openStep(j, k, i, now)
+			}
+		}
+	}
+}
+
+func (c *Core) mayOpen(j *job, k, step int) bool {
+	if due := j.Due(k); due > 0 && due > c.wallMS() {
+		return false
+	}
+	for _, a := range j.Steps[step].After {
+		if j.steps[k][a].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) openStep(j *job, k, step int, now time.Duration) {
+	s, spec := j.steps[k][step], &j.Steps[step]
+	s.opened, s.openedAt = true, now
+	c.dirty = true
+	if spec.Gang {
+		s.units = []*unit{newUnit(j, k, step, 0, spec.Tasks, now)}
+		return
+	}
+	for i := range spec.Tasks {
+		s.units = append(s.units, newUnit(j, k, step, i, 1, now))
+	}
+}
+
+func newUnit(j *job, k, step, first, count int, now time.Duration) *unit {
+	u := &unit{job: j, occurrence: k, step: step, gang: j.Steps[step].Gang, readySince: now, avoid: map[string]bool{}}
+	for i := first; i < first+count; i++ {
+		id := batch.TaskID{Job: j.ID, Occurrence: k, Step: step, Index: i}
+		u.tasks = append(u.tasks, &task{id: id, name: id.String(), unit: u})
+	}
+	u.id = u.tasks[0].name
+	return u
+}
+
+// task returns the task with the name, or nil.
+func (c *Core) task(name string) *task {
+	id, ok := batch.ParseTaskID(name)
+	if !ok {
+		return nil
+	}
+	j := c.jobs[id.Job]
+	if j == nil || id.Occurrence >= len(j.steps) || id.Step >= len(j.Steps) {
+		return nil
+	}
+	units := j.steps[id.Occurrence][id.Step].units
+	if j.Steps[id.Step].Gang {
+		if len(units) == 1 && id.Index < len(units[0].tasks) {
+			return units[0].tasks[id.Index]
+		}
+		return nil
+	}
+	if id.Index >= len(units) {
+		return nil
+	}
+	return units[id.Index].tasks[0]
+}
+
+// Pending returns the number of accepted jobs that haven't started and have no schedule.
+func (c *Core) Pending() int {
+	n := 0
+	for _, j := range c.live {
+		if j.state == batch.Pending {
+			n++
+		}
+	}
+	return n
+}
+
+// wallMS is set by Tick; schedules are measured in time of day.
+func (c *Core) wallMS() int64 { return c.wall }
--- /dev/null
+++ b/internal/dispatch/runner.go
@@ -0,0 +1,349 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"samphirewell/internal/lead"
+)
+
+const (
+	// tickEvery is the period of the work that is due with time.
+	tickEvery = 100 * time.Millisecond
+	// commitEvery is the shortest time between two transactions: it groups changes and bounds the calls to the table.
+	commitEvery = 25 * time.Millisecond
+	// planEvery is the shortest time between two plans; several events of one moment are planned together.
+	planEvery = 10 * time.Millisecond
+	// holdPause is the time between two reads of a worker that can't wait for an end, because earlier ends aren't stored yet.
+	holdPause = 500 * time.Millisecond
+	// holdRetry is the pause after a hold without an answer.
+	holdRetry = 400 * time.Millisecond
+	// idlePause is the time after which a worker without runs is looked at again in memory, in case a wake was lost.
+	idlePause = 10 * time.Second
+)
+
+// Links sends orders to workers. Implementations are safe for concurrent use and bound the time of each call.
+type Links interface {
+	Order(ctx context.Context, o Order) Result
+	// Hold returns the worker's report. ErrHoldRefused means that the worker has seen a newer epoch.
+	Hold(ctx context.Context, h Hold) (Report, error)
+}
+
+// ErrHoldRefused is the error of a hold under an old epoch.
+var ErrHoldRefused = errors.New("the worker has seen a newer epoch")
+
+// Clock gives the times that a runner needs.
+type Clock interface {
+	// SinceBoot is a steady time that goes on while the host is suspended.
+	SinceBoot() time.Duration
+	// WallMS is the time of day, Unix milliseconds.
+	WallMS() int64
+}
+
+// Runner drives a Core: it stores its rows and sends its orders.
+type Runner struct {
+	mu      sync.Mutex
+	core    *Core
+	session *lead.Session
+	links   Links
+	clock   Clock
+	log     logrus.FieldLogger
+	metrics Metrics
+
+	kick      chan struct{}
+	holders   map[string]chan struct{} // wakes the goroutine that reads a worker
+	sentAt    time.Duration            // sending of the newest successful transaction
+	failed    error
+	lastPlan  time.Duration
+	lastTick  time.Duration
+	suspended bool // the leader lacks authority and is silent
+	draining  bool
+}
+
+// Metrics receives measurements of a runner.
+type Metrics interface {
+	Committed(rows int, took time.Duration)
+	Planned(took time.Duration)
+	Ordered(o Order, r Result, took time.Duration)
+}
+
+// NewRunner returns a runner of a core that was just restored.
+func NewRunner(core *Core, s *lead.Session, l Links, c Clock, m Metrics, log logrus.FieldLogger) *Runner {
+	return &Runner{core: core, session: s, links: l, clock: c, metrics: m, log: log, kick: make(chan struct{}, 1),
+		holders: map[string]chan struct{}{}, sentAt: c.SinceBoot()}
+}
+
+// Do changes the core and lets the runner act on it.
+func (r *Runner) Do(f func(c *Core, now time.Duration)) {
+	r.mu.Lock()
+	f(r.core, r.clock.SinceBoot())
+	r.mu.Unlock()
+	r.wake()
+}
+
+func (r *Runner) wake() {
+	select {
+	case r.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Run leads until ctx ends or another host leads; then it returns nil or ErrDeposed. At the end of ctx it gives leadership back.
+func (r *Runner) Run(ctx context.Context) error {
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer stop()
+	group.Go(func() { r.commitLoop(ctx, run, stop) })
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for run.Err() == nil {
+		select {
+		case <-run.Done():
+		case <-r.kick:
+		case <-timer.C:
+		}
+		wait := r.step(run, &group)
+		timer.Reset(wait)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failed
+}
+
+// step does what is due and returns the time until the next step.
+func (r *Runner) step(ctx context.Context, group *sync.WaitGroup) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.SinceBoot()
+	if r.core.Deposed() {
+		r.failed = lead.ErrDeposed
+	}
+	if now-r.lastTick >= tickEvery {
+		r.lastTick = now
+		r.core.Tick(now, r.clock.WallMS())
+	}
+	if now-r.lastPlan >= replanEvery {
+		r.core.Replan()
+	}
+	wait := tickEvery
+	if r.core.NeedsPlan() && r.mayAct(now) {
+		if now-r.lastPlan >= planEvery {
+			r.lastPlan = now
+			r.core.Plan(now)
+			r.metrics.Planned(r.clock.SinceBoot() - now)
+		} else {
+			wait = planEvery
+		}
+	}
+	r.sendOrders(ctx, group, now)
+	r.startHolders(ctx, group)
+	return wait
+}
+
+// mayAct reports whether the leader may still give orders: its last successful transaction is recent enough.
+func (r *Runner) mayAct(now time.Duration) bool {
+	may := r.failed == nil && now-r.sentAt < authorityAfterCommit
+	if may == r.suspended {
+		r.suspended = !may
+		r.log.WithFields(logrus.Fields{"epoch": r.core.Epoch(), "since_write_ms": (now - r.sentAt).Milliseconds(), "may_act": may}).
+			Warn("authority of the leader changed")
+	}
+	return may
+}
+
+func (r *Runner) sendOrders(ctx context.Context, group *sync.WaitGroup, now time.Duration) {
+	for _, o := range r.core.TakeOrders() {
+		if !r.mayAct(now) {
+			if !o.Stop { // a stop is repeated when it stays unconfirmed
+				r.core.OnStart(o, TooLate, now)
+			}
+			continue
+		}
+		group.Go(func() { r.send(ctx, o) })
+	}
+}
+
+func (r *Runner) send(ctx context.Context, o Order) {
+	sent := r.clock.SinceBoot()
+	result := r.links.Order(ctx, o)
+	r.metrics.Ordered(o, result, r.clock.SinceBoot()-sent)
+	if ctx.Err() != nil {
+		return
+	}
+	r.Do(func(c *Core, now time.Duration) {
+		if o.Stop {
+			c.OnStop(o, result, now)
+		} else {
+			c.OnStart(o, result, now)
+		}
+	})
+}
+
+// startHolders runs one goroutine for each worker and wakes those with something to read or to acknowledge.
+func (r *Runner) startHolders(ctx context.Context, group *sync.WaitGroup) {
+	for _, id := range r.core.TakeWakes() {
+		wake, ok := r.holders[id]
+		if !ok {
+			wake = make(chan struct{}, 1)
+			r.holders[id] = wake
+			group.Go(func() { r.holdLoop(ctx, id, wake) })
+		}
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// holdState says what to do next about a worker.
+type holdState uint8
+
+const (
+	holdNow holdState = iota
+	holdIdle
+	holdSuspended
+	holdGone
+)
+
+func (r *Runner) nextHold(id string) (Hold, holdState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.SinceBoot()
+	if !r.core.Knows(id) {
+		delete(r.holders, id)
+		return Hold{}, holdGone
+	}
+	if !r.mayAct(now) {
+		return Hold{}, holdSuspended
+	}
+	if h, ok := r.core.NextHold(id, now); ok {
+		return h, holdNow
+	}
+	return Hold{}, holdIdle
+}
+
+// holdLoop reads a worker while something runs there or is to be acknowledged.
+func (r *Runner) holdLoop(ctx context.Context, id string, wake chan struct{}) {
+	for ctx.Err() == nil {
+		h, state := r.nextHold(id)
+		switch state {
+		case holdGone:
+			return
+		case holdIdle:
+			r.await(ctx, wake, idlePause)
+		case holdSuspended:
+			r.await(ctx, nil, holdRetry)
+		case holdNow:
+			if pause := r.hold(ctx, id, h); pause > 0 {
+				r.await(ctx, wake, pause)
+			}
+		}
+	}
+}
+
+// await waits for a wake or for the pause.
+func (r *Runner) await(ctx context.Context, wake chan struct{}, pause time.Duration) {
+	t := time.NewTimer(pause)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wake:
+	case <-t.C:
+	}
+}
+
+// hold sends one hold and returns the pause until the next one.
+func (r *Runner) hold(ctx context.Context, id string, h Hold) time.Duration {
+	sent := r.clock.SinceBoot()
+	report, err := r.links.Hold(ctx, h)
+	if ctx.Err() != nil {
+		return holdRetry
+	}
+	pause := time.Duration(0)
+	r.Do(func(c *Core, now time.Duration) {
+		switch {
+		case errors.Is(err, ErrHoldRefused):
+			c.OnHoldRefused(id)
+		case err != nil:
+			c.OnHoldFailed(id, h, now)
+			pause = holdRetry
+		default:
+			c.OnReport(id, report, sent, now)
+			pause = c.HoldPause(id)
+		}
+	})
+	return pause
+}
+
+// commitLoop stores rows, and renews the leader row when nothing else is written.
+func (r *Runner) commitLoop(outer, run context.Context, stop context.CancelFunc) {
+	defer stop()
+	for {
+		last := outer.Err() != nil
+		err := r.commit(run, last)
+		r.mu.Lock()
+		if err != nil && run.Err() == nil {
+			r.failed = lead.ErrDeposed
+		}
+		failed := r.failed
+		r.mu.Unlock()
+		if failed != nil || last {
+			return
+		}
+		r.awaitCommit(outer)
+	}
+}
+
+// awaitCommit waits until rows wait to be stored, but commitEvery at least and lead.RenewEvery at most.
+func (r *Runner) awaitCommit(ctx context.Context) {
+	begin := time.Now()
+	for ctx.Err() == nil && time.Since(begin) < lead.RenewEvery {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(commitEvery):
+		}
+		r.mu.Lock()
+		has := r.core.HasCommit() || r.core.Deposed()
+		r.mu.Unlock()
+		if has {
+			return
+		}
+	}
+}
+
+func (r *Runner) commit(ctx context.Context, release bool) error {
+	r.mu.Lock()
+	if r.core.Deposed() {
+		r.mu.Unlock()
+		return lead.ErrDeposed
+	}
+	if release {
+		r.core.Freeze()
+	}
+	cm := r.core.TakeCommit()
+	r.mu.Unlock()
+	if cm == nil {
+		cm = &Commit{}
+	}
+	began := r.clock.SinceBoot()
+	write := r.session.Commit
+	if release {
+		write = r.session.Release
+	}
+	if err := write(ctx, cm.Puts, cm.Removes); err != nil {
+		return err
+	}
+	age := time.Since(r.session.Sent)
+	r.Do(func(c *Core, now time.Duration) {
+		r.sentAt = now - age
+		r.metrics.Committed(len(cm.Puts)+len(cm.Removes), now-began)
+		c.Stored(cm, now)
+	})
+	return nil
+}
--- a/internal/front/pool.go
+++ b/internal/front/pool.go
@@ -7,11 +7,8 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
-	"time"
-
-	"github.com/pkg/errors"
 
+	"samphirewell/internal/netidle"
 	"samphirewell/internal/registry"
 )
 
@@ -142,24 +139,5 @@
 	if c.buf.Buffered() > 0 {
 		return false, true
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true, false
-	}
-	_ = c.SetDeadline(time.Time{})
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false, false
-	}
-	var n int
-	var peekErr error
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		n, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		return true
-	})
-	if err != nil {
-		return false, false
-	}
-	return errors.Is(peekErr, syscall.EAGAIN), n > 0 && peekErr == nil
+	return netidle.Quiet(c.Conn)
 }
--- /dev/null
+++ b/internal/httpserve/httpserve.go
@@ -0,0 +1,179 @@
+// Package httpserve is a small HTTP/1.1 server on nbhttp's parser with a graceful stop.
+package httpserve
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio/nbhttp"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+)
+
+const (
+	readBufferBytes = 4096
+	// idleTimeout closes connections without a request. It exceeds the pauses of callers that keep their connections.
+	idleTimeout = 60 * time.Second
+	// requestTimeout bounds the arrival of one request.
+	requestTimeout = 5 * time.Second
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 16 << 10
+	// maxConnections bounds the connections of one server; it stays under the descriptors of the smallest hosts (4,100, of which 200 are for files).
+	maxConnections = 3000
+	// closePoll is the period in which Stop looks whether requests are being served.
+	closePoll = 5 * time.Millisecond
+)
+
+// Server serves one address.
+type Server struct {
+	address  string
+	engine   *nbhttp.Engine
+	log      logrus.FieldLogger
+	listener net.Listener
+	leaving  atomic.Bool
+	active   atomic.Int64
+
+	mu    sync.Mutex
+	conns map[*serverConn]struct{}
+}
+
+// New returns a server that doesn't listen yet. maxBody bounds the body of a request in bytes.
+func New(address string, maxBody int, handler http.Handler, log logrus.FieldLogger) *Server {
+	s := &Server{address: address, log: log, conns: map[*serverConn]struct{}{}}
+	s.engine = nbhttp.NewEngine(nbhttp.Config{Name: address, Handler: s.wrap(handler), ReadLimit: maxBody + maxHeaderBytes, MaxHTTPBodySize: maxBody})
+	return s
+}
+
+// wrap asks callers to close their connections while the server is leaving.
+func (s *Server) wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Start listens and serves.
+func (s *Server) Start() error {
+	ln, err := net.Listen("tcp", s.address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	s.listener = ln
+	go s.accept(ln)
+	return nil
+}
+
+// Addr returns the address of the listener.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// Leave makes answers ask callers to close their connections.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Stop closes the listener and the idle connections, waits for requests that are being served until ctx ends, and closes the rest. The error says
+// how many requests were cut.
+func (s *Server) Stop(ctx context.Context) error {
+	s.leaving.Store(true)
+	_ = s.listener.Close()
+	for s.active.Load() > 0 && ctx.Err() == nil {
+		time.Sleep(closePoll)
+	}
+	cut := s.active.Load()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.conn.Close()
+	}
+	if cut > 0 {
+		return errors.Errorf("%d requests were cut", cut)
+	}
+	return nil
+}
+
+func (s *Server) accept(ln net.Listener) {
+	for {
+		conn, err := ln.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			s.log.WithError(err).Warn("accept failed")
+			time.Sleep(10 * time.Millisecond) // out of file descriptors: wait until some are closed
+			continue
+		}
+		c := &serverConn{server: s, conn: conn}
+		if !s.track(c) {
+			_ = conn.Close()
+			continue
+		}
+		go c.loop()
+	}
+}
+
+func (s *Server) track(c *serverConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= maxConnections {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	return true
+}
+
+func (s *Server) untrack(c *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// serverConn is one connection. It reads in one goroutine and hands the bytes to nbhttp's parser, which calls the handler in the same
+// goroutine.
+type serverConn struct {
+	server *Server
+	conn   net.Conn
+	inside bool // a request has begun to arrive
+	failed bool // the handler panicked
+}
+
+func (c *serverConn) loop() {
+	defer c.server.untrack(c)
+	defer c.conn.Close()
+	parser := nbhttp.NewParser(c.conn, c.server.engine, nbhttp.NewServerProcessor(), false, c.execute)
+	defer parser.CloseAndClean(io.EOF)
+	buf := make([]byte, readBufferBytes)
+	for {
+		limit := idleTimeout
+		if c.inside {
+			limit = requestTimeout
+		}
+		_ = c.conn.SetReadDeadline(time.Now().Add(limit))
+		n, err := c.conn.Read(buf)
+		if n > 0 {
+			c.inside = true
+			if perr := parser.Parse(buf[:n]); perr != nil || c.failed {
+				c.server.log.WithField("caller", c.conn.RemoteAddr().String()).WithError(perr).Info("connection closed after a malformed request")
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// execute runs the handler and the write of its answer.
+func (c *serverConn) execute(f func()) bool {
+	c.server.active.Add(1)
+	defer c.server.active.Add(-1)
+	c.failed = true
+	f()
+	c.failed = false
+	c.inside = false
+	return true
+}
--- /dev/null
+++ b/internal/intake/inbox.go
@@ -0,0 +1,82 @@
+// Package intake accepts jobs from callers, shows their states and takes cancel requests. It runs on every host and needs
+// only the table service: what callers hand in lies in the inbox, from which the leader takes it.
+package intake
+
+import (
+	"encoding/json"
+	"hash/fnv"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"samphirewell/internal/batch"
+	"samphirewell/internal/rowstore"
+)
+
+// TableInbox holds submitted jobs and cancel requests.
+const TableInbox = "inbox"
+
+// inboxParts is the number of parts of the inbox. A part carries one transaction after the other: several parts keep
+// submissions going when each takes long.
+const inboxParts = 8
+
+// cancelSuffix ends the key of a cancel request.
+const cancelSuffix = "/cancel"
+
+// tombstone is the value of a submission whose job has ended. The row stays, so that a late repetition isn't a new job.
+const tombstone = "{}"
+
+// InboxParts returns the names of the parts.
+func InboxParts() []string {
+	out := make([]string, inboxParts)
+	for i := range out {
+		out[i] = strconv.Itoa(i)
+	}
+	return out
+}
+
+func partOf(id string) string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return strconv.Itoa(int(h.Sum32() % inboxParts))
+}
+
+func jobKey(id string) rowstore.Key {
+	return rowstore.Key{Table: TableInbox, Part: partOf(id), Key: id}
+}
+
+func cancelKey(id string) rowstore.Key {
+	return rowstore.Key{Table: TableInbox, Part: partOf(id), Key: id + cancelSuffix}
+}
+
+// Entry is a decoded row of the inbox.
+type Entry struct {
+	ID     string
+	Cancel bool
+	Ended  bool      // the job has ended and its steps are gone
+	Job    batch.Job // if neither
+}
+
+// DecodeEntry reads a row of the inbox.
+func DecodeEntry(r rowstore.Row) (Entry, error) {
+	if id, ok := strings.CutSuffix(r.Key.Key, cancelSuffix); ok {
+		return Entry{ID: id, Cancel: true}, nil
+	}
+	e := Entry{ID: r.Key.Key}
+	if err := json.Unmarshal(r.Value, &e.Job); err != nil {
+		return e, errors.Wrap(err, "submission")
+	}
+	e.Ended = e.Job.ID == ""
+	return e, nil
+}
+
+// EndJob is the transaction that replaces the steps of an ended job by a tombstone.
+func EndJob(id string) rowstore.Tx {
+	return rowstore.Tx{Puts: []rowstore.Row{{Key: jobKey(id), Value: []byte(tombstone)}}, Removes: []rowstore.Key{cancelKey(id)}}
+}
+
+// ForgetJob is the transaction that deletes what the inbox holds of a job.
+func ForgetJob(id string) rowstore.Tx {
+	return rowstore.Tx{Removes: []rowstore.Key{jobKey(id), cancelKey(id)}}
+}
--- /dev/null
+++ b/internal/placement/placement.go
@@ -0,0 +1,177 @@
+// Package placement decides which waiting tasks start on which workers and which running ones are stopped for more
+// urgent ones. It is pure: equal inputs give equal decisions, and it reads no clock and does no I/O.
+package placement
+
+import (
+	"time"
+
+	"samphirewell/internal/batch"
+)
+
+const (
+	// reserveAfter is the wait after which a gang gets workers reserved. Shorter waits usually end by themselves; the figure is a
+	// fraction of the shortest run time of large gangs (11 s).
+	reserveAfter = 2 * time.Second
+	// maxReservations bounds the workers that stand idle for waiting gangs.
+	maxReservations = 2
+	// victimCost is added to the lost work of each stopped unit, in core-seconds, so that few victims are preferred to many.
+	victimCost = 20
+)
+
+// Worker is a worker of the service that is planned for.
+type Worker struct {
+	ID       string
+	Rack     string
+	Labels   []string
+	Capacity batch.Room
+	Free     batch.Room // free now
+	Soon     batch.Room // Free and the room of runs that are being stopped
+	Usable   bool       // may get new work
+	Penalty  float64    // doubt in the worker's health; 0 means none
+	Serving  bool       // runs tasks with a bound on their response times
+}
+
+// Run is a unit that runs. A unit is a gang or a single task.
+type Run struct {
+	ID        string
+	Team      string
+	Priority  int
+	Protected bool // within the guarantee of its team
+	Fixed     bool // must not be stopped for others
+	Parts     []Part
+	Loss      float64 // work that stopping would throw away, core-seconds
+}
+
+// Part is the room that a run holds on one worker.
+type Part struct {
+	Worker int
+	Need   batch.Room
+}
+
+// Request is a gang, or equal tasks that may start one by one.
+type Request struct {
+	ID       string
+	Team     string
+	Priority int
+	Within   bool // within the guarantee of its team
+	Step     *batch.Step
+	Count    int
+	Gang     bool
+	Used     map[int]int  // tasks of the same step per worker, for Step.MaxPerWorker
+	Avoid    map[int]bool // workers on which it failed
+	Spread   bool         // may leave its rack
+	Claim    bool         // may stop less urgent runs
+	Waited   time.Duration
+}
+
+// Placement assigns tasks of a request to workers, one entry a task.
+type Placement struct {
+	Request int
+	Workers []int
+}
+
+// Decision is the output of Plan.
+type Decision struct {
+	Placements []Placement
+	Stops      []int // runs to stop
+}
+
+// Input is a snapshot of one service. Requests are in the order in which they are served.
+type Input struct {
+	Workers  []Worker
+	Runs     []Run
+	Requests []Request
+}
+
+// Plan decides one cycle. It changes Free and Soon of the workers.
+func Plan(in Input) Decision {
+	p := newPlanner(in)
+	for i := range in.Requests {
+		p.serve(i)
+	}
+	return p.out
+}
+
+type planner struct {
+	workers      []Worker
+	runs         []Run
+	requests     []Request
+	racks        map[string][]int
+	rackNames    []string // in order of first appearance
+	all          []int
+	byWorker     [][]int // runs on each worker, cheapest first
+	stopped      []bool
+	reservations int
+	out          Decision
+}
+
+func newPlanner(in Input) *planner {
+	p := &planner{workers: in.Workers, runs: in.Runs, requests: in.Requests, racks: map[string][]int{}, stopped: make([]bool, len(in.Runs))}
+	for i, w := range in.Workers {
+		if _, ok := p.racks[w.Rack]; !ok {
+			p.rackNames = append(p.rackNames, w.Rack)
+		}
+		p.racks[w.Rack] = append(p.racks[w.Rack], i)
+		p.all = append(p.all, i)
+	}
+	return p
+}
+
+// serve places a request as far as it fits, and makes or keeps room for the rest.
+func (p *planner) serve(i int) {
+	r := &p.requests[i]
+	placed := p.fit(r, r.Count, freeRoom)
+	if len(placed) > 0 {
+		p.take(r, placed)
+		p.out.Placements = append(p.out.Placements, Placement{i, placed})
+	}
+	rest := r.Count - len(placed)
+	if rest == 0 {
+		return
+	}
+	if r.Claim {
+		p.claim(r, rest)
+		return
+	}
+	p.reserve(r)
+}
+
+// claim keeps room that becomes free for the rest of the request, and stops less urgent runs for what is missing.
+func (p *planner) claim(r *Request, rest int) {
+	coming := p.fit(r, rest, soonRoom)
+	p.take(r, coming)
+	rest -= len(coming)
+	if rest == 0 {
+		return
+	}
+	workers, victims := p.makeRoom(r, rest)
+	for _, v := range victims {
+		p.stop(v)
+	}
+	p.take(r, workers)
+}
+
+// take deducts the room of the request's tasks. Free may become negative where the room is still to come.
+func (p *planner) take(r *Request, workers []int) {
+	for _, w := range workers {
+		p.workers[w].Free = p.workers[w].Free.Minus(r.Step.Need)
+		p.workers[w].Soon = p.workers[w].Soon.Minus(r.Step.Need)
+		if r.Step.MaxPerWorker > 0 {
+			if r.Used == nil {
+				r.Used = map[int]int{}
+			}
+			r.Used[w]++
+		}
+	}
+}
+
+func (p *planner) stop(run int) {
+	if p.stopped[run] {
+		return
+	}
+	p.stopped[run] = true
+	p.out.Stops = append(p.out.Stops, run)
+	for _, part := range p.runs[run].Parts {
+		p.workers[part.Worker].Soon = p.workers[part.Worker].Soon.Plus(part.Need)
+	}
+}
--- /dev/null
+++ b/internal/placement/reserve.go
@@ -0,0 +1,61 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"samphirewell/internal/batch"
+)
+
+// reserve keeps workers free of later requests, so that a large gang isn't starved by a stream of small ones.
+func (p *planner) reserve(r *Request) {
+	if !r.Gang || r.Waited < reserveAfter || p.reservations >= maxReservations {
+		return
+	}
+	workers := p.reservable(r)
+	if workers == nil {
+		return
+	}
+	p.reservations++
+	for _, w := range workers {
+		p.workers[w].Free = batch.Room{MilliCores: -1, MemoryMB: -1, Accelerators: -1}
+		p.workers[w].Soon = p.workers[w].Free
+	}
+}
+
+// reservable returns the fewest workers that could hold the request once they are empty: those with the most room now.
+func (p *planner) reservable(r *Request) []int {
+	groups := [][]int{p.all}
+	if r.Step.SameRack && p.fitsSomeRack(r) {
+		groups = groups[:0]
+		for _, name := range p.rackNames {
+			groups = append(groups, p.racks[name])
+		}
+	}
+	var best []int
+	bestRoom := -1.0
+	for _, group := range groups {
+		chosen, room := p.emptiest(r, group)
+		if chosen != nil && room > bestRoom {
+			best, bestRoom = chosen, room
+		}
+	}
+	return best
+}
+
+// emptiest picks workers of the group, those with the most room first, until the request would fit on them.
+func (p *planner) emptiest(r *Request, group []int) ([]int, float64) {
+	order := slices.Clone(group)
+	slices.SortStableFunc(order, func(a, b int) int {
+		return -cmp.Compare(p.workers[a].Soon.CoreEquivalents(), p.workers[b].Soon.CoreEquivalents())
+	})
+	slots, room := 0, 0.0
+	for i, w := range order {
+		slots += p.times(r, w, r.Count, capacityRoom)
+		room += p.workers[w].Soon.CoreEquivalents()
+		if slots >= r.Count {
+			return order[:i+1], room / float64(i+1)
+		}
+	}
+	return nil, 0
+}
