Let leases of silent workers end, count tasks of a step over all its requests

Change: holds to a silent worker renew nothing; requests of a step share their counts; members of a gang that have done their part don't count as hanging.

--- a/internal/dispatch/holds.go
+++ b/internal/dispatch/holds.go
@@ -18,14 +18,12 @@
 		return Hold{}, false
 	}
 	h := Hold{Worker: w.Worker, Epoch: c.epoch, Acked: w.acked}
-	if busy && w.contacted && len(w.unacked) == 0 {
+	if busy && w.contacted && len(w.unacked) == 0 && !w.holdDue && !w.silent {
 		// With unacknowledged ends the worker would answer at once.
 		h.Wait = holdWait
 	}
-	if w.holdDue {
-		h.Wait = 0
-	}
-	if w.contacted && busy {
+	if busy && w.contacted && !w.silent {
+		// A renewal that gets no answer may have been taken. A worker that stays silent gets no more of them, so that its leases end.
 		h.Lease = w.clockNow(now) + c.bounds.LeaseMax
 		w.leaseEnd = max(w.leaseEnd, h.Lease)
 	}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -131,6 +131,7 @@
 	occupants     map[runKey]*occupant
 
 	contacted bool          // it has answered under the present epoch
+	silent    bool          // its last read got no answer
 	clock     time.Duration // of the worker, in its newest answer
 	clockAt   time.Duration // when that answer arrived
 	leaseEnd  time.Duration // on the worker's clock; no run there lasts longer
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -69,7 +69,7 @@
 	case t.phase != running || t.unit.spec().LongRunning:
 	case w.Draining && c.leaveBehind(w, t, now):
 		c.stopUnit(t.unit, now, "worker_leaves")
-	case w.contacted && w.clockAt > t.percentAt && now-t.percentAt > hangAfter && t.unit.wholly(running):
+	case w.contacted && t.percent < 100 && w.clockAt > t.percentAt && now-t.percentAt > hangAfter && t.unit.wholly(running):
 		w.health.fail(now, hangDoubt)
 		c.stopUnit(t.unit, now, "no_progress")
 	}
@@ -182,10 +182,11 @@
 	index   map[string]int
 	runs    []*unit
 	units   [][]*unit // of each request
+	used    map[*stepState]map[int]int
 }
 
 func (c *Core) planService(service string, ready []*unit, within map[*job]bool, now time.Duration) {
-	in := &planInput{index: map[string]int{}}
+	in := &planInput{index: map[string]int{}, used: map[*stepState]map[int]int{}}
 	c.addWorkers(in, service, now)
 	c.addRuns(in, within, now)
 	c.addRequests(in, ready, within, now)
@@ -238,7 +239,7 @@
 
 // usable reports whether a worker may get new work.
 func (c *Core) usable(w *worker, now time.Duration) bool {
-	return w.registered && !w.Draining && w.contacted && now >= w.fullUntil && w.health.trusted(now)
+	return w.registered && !w.Draining && w.contacted && !w.silent && now >= w.fullUntil && w.health.trusted(now)
 }
 
 func (c *Core) addRuns(in *planInput, within map[*job]bool, now time.Duration) {
@@ -334,11 +335,16 @@
 	in.units = append(in.units, units)
 }
 
-// usedBy counts the tasks of the unit's step on each worker, where their number is limited.
+// usedBy counts the tasks of the unit's step on each worker, where their number is limited. All requests of a step share the counts, which
+// the plan keeps up to date.
 func (c *Core) usedBy(in *planInput, u *unit) map[int]int {
 	if u.spec().MaxPerWorker == 0 {
 		return nil
 	}
+	step := u.job.steps[u.occurrence][u.step]
+	if counts, ok := in.used[step]; ok {
+		return counts
+	}
 	out := map[int]int{}
 	for i, w := range in.workers {
 		for k, o := range w.occupants {
@@ -348,6 +354,7 @@
 			}
 		}
 	}
+	in.used[step] = out
 	return out
 }
 
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -118,7 +118,7 @@
 		}
 		c.changeBoot(w, r.Boot, received)
 	}
-	w.clock, w.clockAt = r.Clock, received
+	w.clock, w.clockAt, w.silent = r.Clock, received, false
 	if !w.contacted {
 		// Leases that an earlier leader granted end at the latest after the longest lease.
 		w.contacted, c.dirty = true, true
@@ -335,6 +335,7 @@
 	c.now = now
 	if w := c.workers[id]; w != nil {
 		w.health.fail(now, 1)
+		w.silent = true
 		if h.Wait == 0 {
 			c.wantHold(w)
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -57,7 +57,7 @@
 	Step     *batch.Step
 	Count    int
 	Gang     bool
-	Used     map[int]int  // tasks of the same step per worker, for Step.MaxPerWorker
+	Used     map[int]int  // tasks of the same step per worker; not nil and shared by all requests of the step if Step.MaxPerWorker is set
 	Avoid    map[int]bool // workers on which it failed
 	Spread   bool         // may leave its rack
 	Claim    bool         // may stop less urgent runs
@@ -157,9 +157,6 @@
 		p.workers[w].Free = p.workers[w].Free.Minus(r.Step.Need)
 		p.workers[w].Soon = p.workers[w].Soon.Minus(r.Step.Need)
 		if r.Step.MaxPerWorker > 0 {
-			if r.Used == nil {
-				r.Used = map[int]int{}
-			}
 			r.Used[w]++
 		}
 	}
