Take a request of which no byte was sent as not run

Cause: a caller's kept connection that a stopping host closes may be assigned to a request before the close is seen; net/http fails it without a byte written, and the client took any failure after the assignment as unknown (connection_lost of the planned stop). Change: the transport counts bytes per connection.

--- a/internal/client/transport.go
+++ b/internal/client/transport.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -43,6 +44,7 @@
 	base := http.DefaultTransport.(*http.Transport).Clone()
 	base.Proxy = nil // hosts are addressed by IP and reached directly
 	base.MaxIdleConnsPerHost = 64
+	base.DialContext = countWrites(base.DialContext)
 	return transport{http: &http.Client{
 		Transport:     base,
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
@@ -55,10 +57,56 @@
 
 func (oneShotBody) Close() error { return nil }
 
-// exchange sends one request. A failure before a connection was open is NotRun; every later one is Unknown.
+// writtenConn counts the bytes that were handed to the network.
+type writtenConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c *writtenConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+func countWrites(dial dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &writtenConn{Conn: conn}, nil
+	}
+}
+
+// sending tells whether a byte of a request left this machine. A host that stops closes its idle connections; a request that was just
+// assigned to one fails without a byte written and has not run.
+type sending struct {
+	conn   atomic.Pointer[writtenConn]
+	before atomic.Int64
+}
+
+func (s *sending) gotConn(info httptrace.GotConnInfo) {
+	conn, ok := info.Conn.(*writtenConn)
+	if !ok {
+		return
+	}
+	s.before.Store(conn.written.Load())
+	s.conn.Store(conn)
+}
+
+func (s *sending) began() bool {
+	conn := s.conn.Load()
+	return conn != nil && conn.written.Load() > s.before.Load()
+}
+
+// exchange sends one request. A failure before a byte was sent is NotRun; every later one is Unknown.
 func (t transport) exchange(ctx context.Context, method, url string, header http.Header, body []byte) answer {
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }})
+	var sent sending
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sent.gotConn})
 	request, err := http.NewRequestWithContext(ctx, method, url, oneShotBody{bytes.NewReader(body)})
 	if err != nil {
 		return answer{outcome: outcome.Refuse(outcome.BadRequest, 0), body: []byte(err.Error())}
@@ -67,7 +115,7 @@
 	request.Header = header
 	response, err := t.http.Do(request)
 	if err != nil {
-		return answer{outcome: failure(connected.Load(), ctx.Err()), body: []byte(err.Error())}
+		return answer{outcome: failure(sent.began(), ctx.Err()), body: []byte(err.Error())}
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
@@ -77,9 +125,9 @@
 	return answer{outcome: classify(response, text), status: response.StatusCode, header: response.Header, body: text}
 }
 
-func failure(connected bool, ended error) outcome.Outcome {
+func failure(sent bool, ended error) outcome.Outcome {
 	switch {
-	case !connected:
+	case !sent:
 		return outcome.Refuse(Unreachable, unreachableDelay)
 	case errors.Is(ended, context.DeadlineExceeded):
 		return outcome.MayHaveRun(outcome.DeadlineRunning)
