Ask a silent leader whether it lives; reach the table through other hosts

Change: after 0.7 s without a change of the leader row hosts ask the leader over jsonrpc2 and claim if it doesn't answer or is refused; calls to the table that fail go through the leader or a seed.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -178,6 +178,27 @@
 const KeyQueryResponseStateTombstone KeyQueryResponseState = "tombstone"
 const KeyQueryResponseStateUnknown KeyQueryResponseState = "unknown"
 
+// Asks a host whether it leads.
+type LeaderQuery struct {
+	// Epoch that the asking host knows.
+	Epoch int `json:"epoch"`
+}
+
+// Whether a host leads and can write.
+type LeaderStatus struct {
+	// Epoch under which the host leads, or 0.
+	Epoch int `json:"epoch"`
+
+	// The host leads under Epoch.
+	Leading bool `json:"leading"`
+
+	// The table has refused the newest write.
+	Refused bool `json:"refused"`
+
+	// Time since the sending of the newest successful write, milliseconds.
+	WriteAgeMS int `json:"writeAgeMs"`
+}
+
 // Outcome of a call as exchanged between entry hosts.
 type PeerOutcome struct {
 	// Body of the answer, base64.
@@ -275,3 +296,89 @@
 	// Id of the sender's view; empty when it has none.
 	ViewID string `json:"viewId"`
 }
+
+// A call to the table service that another host makes, because the asking host
+// can't.
+type RelayCall struct {
+	// Version after which changes are read.
+	After int `json:"after"`
+
+	// Conditions of a transaction.
+	Conditions []RelayRow `json:"conditions"`
+
+	// First key of a scan.
+	From string `json:"from"`
+
+	// Kind of the call.
+	Kind RelayCallKind `json:"kind"`
+
+	// Part to scan.
+	Part string `json:"part"`
+
+	// Rows to write.
+	Puts []RelayRow `json:"puts"`
+
+	// Rows to remove.
+	Removes []RelayRow `json:"removes"`
+
+	// Table to read.
+	Table string `json:"table"`
+
+	// Key after the last one of a scan.
+	To string `json:"to"`
+
+	// Longest wait for a change, milliseconds.
+	WaitMS int `json:"waitMs"`
+}
+
+type RelayCallKind string
+
+const RelayCallKindChanges RelayCallKind = "changes"
+const RelayCallKindCommit RelayCallKind = "commit"
+const RelayCallKindScan RelayCallKind = "scan"
+
+// What the table service answered to a relayed call.
+type RelayResult struct {
+	// The transaction took effect.
+	Applied bool `json:"applied"`
+
+	// The answer was cut.
+	More bool `json:"more"`
+
+	// Kind of the result.
+	Outcome RelayResultOutcome `json:"outcome"`
+
+	// Rows of the answer.
+	Rows []RelayRow `json:"rows"`
+
+	// Version of the answer.
+	Version int `json:"version"`
+}
+
+type RelayResultOutcome string
+
+const RelayResultOutcomeHistoryGone RelayResultOutcome = "history_gone"
+const RelayResultOutcomeOk RelayResultOutcome = "ok"
+const RelayResultOutcomeRefused RelayResultOutcome = "refused"
+const RelayResultOutcomeUncertain RelayResultOutcome = "uncertain"
+
+// A row of the table service, or a condition on one.
+type RelayRow struct {
+	// The row was removed.
+	Deleted bool `json:"deleted"`
+
+	// Key.
+	Key string `json:"key"`
+
+	// Part of the table.
+	Part string `json:"part"`
+
+	// Table.
+	Table string `json:"table"`
+
+	// Contents in base64.
+	Value string `json:"value"`
+
+	// Version, or the one that is required.
+	Version int `json:"version"`
+}
--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -46,13 +46,22 @@
 type Options struct {
 	HostID  string
 	Boot    string // identifies this process among all that ran on the host
-	Store   rowstore.Store
-	Sources Sources
-	Links   dispatch.Links
-	Bounds  dispatch.Bounds
-	Clock   dispatch.Clock
-	Metrics Metrics
-	Log     logrus.FieldLogger
+	Address string // ip:port on which other hosts reach this one
+	// Processors is the processor time that the host may use, in cores.
+	Processors float64
+	Store      rowstore.Store
+	Peers      Peers
+	Sources    Sources
+	Links      dispatch.Links
+	Bounds     dispatch.Bounds
+	Clock      dispatch.Clock
+	Metrics    Metrics
+	Log        logrus.FieldLogger
+}
+
+// Peers sends requests to other hosts.
+type Peers interface {
+	Call(ctx context.Context, address, method string, params, result any) error
 }
 
 // Metrics receives measurements of a host.
@@ -70,13 +79,14 @@
 
 	mu     sync.Mutex
 	runner *dispatch.Runner // while leading
+	epoch  uint64           // while leading, else 0
 }
 
 var leaderKey = rowstore.Key{Table: dispatch.TableStates, Part: dispatch.Part, Key: dispatch.LeaderKey}
 
 // New returns a host that doesn't run yet.
 func New(o Options) *Host {
-	h := &Host{options: o, watch: lead.NewWatch(leaderKey, o.HostID)}
+	h := &Host{options: o, watch: lead.NewWatch(leaderKey, o.HostID, o.Processors)}
 	h.intake = intake.New(o.Store, o.Sources.PolicyAge, o.Log)
 	h.states = rowstore.NewFollower(o.Store, dispatch.TableStates, []string{dispatch.Part}, stateRows{h}, statesInterval, o.Log)
 	return h
@@ -141,6 +151,9 @@
 		if age := h.states.Age(now); age < time.Duration(1<<62) {
 			h.watch.Fresh(now.Add(-age))
 		}
+		if row, version, due := h.watch.AskDue(now); due {
+			go h.askLeader(ctx, row, version)
+		}
 		if row, due := h.watch.ClaimDue(now); due && h.intake.Policy() != nil {
 			h.tryLead(ctx, row)
 		}
@@ -149,7 +162,8 @@
 
 func (h *Host) tryLead(ctx context.Context, observed rowstore.Row) {
 	log := h.options.Log
-	session, err := lead.Claim(ctx, h.options.Store, leaderKey, observed, h.options.HostID, h.options.Boot)
+	session, err := lead.Claim(ctx, h.options.Store, leaderKey, observed,
+		lead.Row{Host: h.options.HostID, Address: h.options.Address, Boot: h.options.Boot})
 	if err != nil {
 		log.WithError(err).Info("claim of leadership failed")
 		return
@@ -171,14 +185,8 @@
 		return err
 	}
 	r := dispatch.NewRunner(core, session, h.options.Links, h.options.Clock, h.options.Metrics, h.options.Log)
-	h.mu.Lock()
-	h.runner = r
-	h.mu.Unlock()
-	defer func() {
-		h.mu.Lock()
-		h.runner = nil
-		h.mu.Unlock()
-	}()
+	h.setRunner(r, session.Epoch())
+	defer h.setRunner(nil, 0)
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer stop()
@@ -194,6 +202,12 @@
 	return r.Run(ctx)
 }
 
+func (h *Host) setRunner(r *dispatch.Runner, epoch uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.runner, h.epoch = r, epoch
+}
+
 // restore reads what earlier leaders have stored and returns the version from which the inbox is followed.
 func (h *Host) restore(ctx context.Context, core *dispatch.Core) (uint64, error) {
 	for {
--- /dev/null
+++ b/internal/batchhost/leader.go
@@ -0,0 +1,65 @@
+package batchhost
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"samphirewell/internal/api"
+	"samphirewell/internal/lead"
+	"samphirewell/internal/peer"
+)
+
+const (
+	// askTimeout bounds the question to the leader whether it lives; many round trips between regions.
+	askTimeout = 250 * time.Millisecond
+	// refusedLimit is the age of the last write at which a leader that the store refuses counts as lost, if the asking host is served.
+	refusedLimit = 600 * time.Millisecond
+)
+
+// Register adds the methods that other hosts call.
+func (h *Host) Register(methods peer.Registry) {
+	methods[peer.MethodLeader] = peer.Handle(func(_ context.Context, _ api.HostIdentity, _ api.LeaderQuery) (api.LeaderStatus, error) {
+		return h.leaderStatus(), nil
+	})
+}
+
+func (h *Host) leaderStatus() api.LeaderStatus {
+	h.mu.Lock()
+	r, epoch := h.runner, h.epoch
+	h.mu.Unlock()
+	if r == nil {
+		return api.LeaderStatus{}
+	}
+	age, refused := r.WriteAge()
+	return api.LeaderStatus{Leading: true, Epoch: int(epoch), WriteAgeMS: int(age.Milliseconds()), Refused: refused}
+}
+
+// askLeader asks a leader whose row hasn't changed for some time, and notes that it is lost if it doesn't answer, doesn't lead any more or is
+// refused by the store that serves this host.
+func (h *Host) askLeader(ctx context.Context, row lead.Row, version uint64) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var s api.LeaderStatus
+	err := h.options.Peers.Call(ctx, row.Address, peer.MethodLeader, api.LeaderQuery{Epoch: int(row.Epoch)}, &s)
+	lost := err != nil || !s.Leading || uint64(s.Epoch) != row.Epoch || s.Refused && time.Duration(s.WriteAgeMS)*time.Millisecond > refusedLimit
+	entry := h.options.Log.WithFields(logrus.Fields{"leader": row.Host, "epoch": row.Epoch, "leading": s.Leading, "write_age_ms": s.WriteAgeMS,
+		"refused": s.Refused, "lost": lost})
+	if err != nil {
+		entry = entry.WithError(err)
+	}
+	entry.Info("asked a silent leader")
+	if lost {
+		h.watch.MarkLost(version)
+	}
+}
+
+// LeaderAddress returns the address of the leader that is known, or an empty string.
+func (h *Host) LeaderAddress() string {
+	row, ok := h.watch.Leader()
+	if !ok || row.Host == h.options.HostID {
+		return ""
+	}
+	return row.Address
+}
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -85,6 +85,13 @@
 	r.wake()
 }
 
+// WriteAge returns the time since the sending of the newest successful write, and whether the store refuses the present one.
+func (r *Runner) WriteAge() (age time.Duration, refused bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.clock.SinceBoot() - r.sentAt, r.session.Refused.Load()
+}
+
 func (r *Runner) wake() {
 	select {
 	case r.kick <- struct{}{}:
--- a/internal/lead/session.go
+++ b/internal/lead/session.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,6 +26,7 @@
 // Row is the leader row.
 type Row struct {
 	Host     string `json:"host"`
+	Address  string `json:"addr"`  // ip:port on which other hosts reach it
 	Boot     string `json:"boot"`  // identifies one process of the host
 	Epoch    uint64 `json:"epoch"` // fencing token; rises with each claim
 	Seq      uint64 `json:"seq"`   // rises with each transaction of the leader
@@ -48,12 +50,14 @@
 	version uint64
 	// Sent is when the newest successful transaction was sent.
 	Sent time.Time
+	// Refused is set while the store refuses the present transaction. It may be read from other goroutines.
+	Refused atomic.Bool
 }
 
 // Claim makes the host the leader if the leader row still has the observed version; 0 if there is none. The error is ErrDeposed if
-// another host was faster, or that of ctx.
-func Claim(ctx context.Context, s rowstore.Store, key rowstore.Key, observed rowstore.Row, host, boot string) (*Session, error) {
-	row := Row{Host: host, Boot: boot, Epoch: 1}
+// another host was faster, or that of ctx. self names the host, its address and its process.
+func Claim(ctx context.Context, s rowstore.Store, key rowstore.Key, observed rowstore.Row, self Row) (*Session, error) {
+	row := Row{Host: self.Host, Address: self.Address, Boot: self.Boot, Epoch: 1}
 	if observed.Version > 0 {
 		last, err := Decode(observed.Value)
 		if err != nil {
@@ -101,6 +105,7 @@
 	for {
 		sent := time.Now()
 		done, err := l.try(ctx, tx, row)
+		l.Refused.Store(errors.Is(err, rowstore.ErrNotDone))
 		if done || errors.Is(err, ErrDeposed) {
 			if done {
 				l.row, l.Sent = row, sent
--- a/internal/lead/watch.go
+++ b/internal/lead/watch.go
@@ -10,12 +10,17 @@
 
 const (
 	// RenewEvery is the longest time between two transactions of a leader.
-	RenewEvery = 500 * time.Millisecond
-	// staleAfter is the time without a change of the leader row after which the leader counts as lost: three renewals. A false alarm costs a
-	// takeover but breaks nothing.
-	staleAfter = 1600 * time.Millisecond
+	RenewEvery = 250 * time.Millisecond
+	// suspectAfter is the time without a change of the leader row after which hosts ask the leader whether it lives: two renewals and
+	// the time of a read.
+	suspectAfter = 700 * time.Millisecond
+	// askAgain is the pause between two questions to the leader.
+	askAgain = 300 * time.Millisecond
+	// staleAfter is the time without a change after which a leader that answers counts as lost too. A store that is slowed 60 times
+	// lets a leader write twice a second. A false alarm costs a takeover but breaks nothing.
+	staleAfter = 2500 * time.Millisecond
 	// claimSpread spreads the claims of hosts, so that mostly one claims.
-	claimSpread = 300 * time.Millisecond
+	claimSpread = 250 * time.Millisecond
 )
 
 // Watch follows the leader row. It is safe for concurrent use.
@@ -27,13 +32,18 @@
 	known   bool      // the table was read at least once
 	changed time.Time // when the row last changed
 	fresh   time.Time // when the table was last read
+	asked   time.Time // when the leader was last asked
+	dead    uint64    // version of the row whose leader didn't answer or can't write
 }
 
-// NewWatch returns a watch for a host. key is that of the leader row.
-func NewWatch(key rowstore.Key, host string) *Watch {
+// NewWatch returns a watch for a host. key is that of the leader row. Hosts with more processors claim earlier: leading costs more than
+// all other work of a host.
+func NewWatch(key rowstore.Key, host string, processors float64) *Watch {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(host))
-	return &Watch{key: key, delay: time.Duration(h.Sum32()%1000) * claimSpread / 1000}
+	spread := time.Duration(h.Sum32()%1000) * claimSpread / 1000
+	weak := time.Duration(float64(claimSpread) * max(0, 1-processors))
+	return &Watch{key: key, delay: (spread + weak) / 2}
 }
 
 // Observe takes rows of the table; all tells that they are its whole contents.
@@ -61,6 +71,29 @@
 	w.fresh = now
 }
 
+// AskDue reports whether the leader should be asked now whether it lives, and its row.
+func (w *Watch) AskDue(now time.Time) (Row, uint64, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.row.Version == 0 || w.dead == w.row.Version || now.Sub(w.fresh) > staleAfter || now.Sub(w.asked) < askAgain ||
+		now.Sub(w.changed) < suspectAfter+w.delay {
+		return Row{}, 0, false
+	}
+	r, err := Decode(w.row.Value)
+	if err != nil || r.Released {
+		return Row{}, 0, false
+	}
+	w.asked = now
+	return r, w.row.Version, true
+}
+
+// MarkLost notes that the leader with this version of the row doesn't answer or can't write.
+func (w *Watch) MarkLost(version uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dead = version
+}
+
 // Leader returns the present leader's row, if there is one.
 func (w *Watch) Leader() (Row, bool) {
 	w.mu.Lock()
@@ -84,7 +117,7 @@
 	}
 	r, err := Decode(w.row.Value)
 	wait := staleAfter
-	if err == nil && r.Released {
+	if err == nil && (r.Released || w.dead == w.row.Version) {
 		wait = 0
 	}
 	return w.row, now.Sub(w.changed) > wait+w.delay
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -39,6 +39,8 @@
 	MethodKeyTombstone = "key.tombstone"
 	MethodKeyBlock     = "key.block"  // blocks first attempts of a key at a member of the view
 	MethodKeyBlocks    = "key.blocks" // the blocked keys that a member knows
+	MethodLeader       = "leader"     // whether a host leads
+	MethodRelay        = "relay"      // a call to the table service on behalf of a host that can't make it
 )
 
 // Codes of JSON-RPC errors of this protocol.
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,308 @@
+// Package relay lets a host that the table service refuses or doesn't reach use it through another host. The other host only passes the call on;
+// conditions and versions protect it as they protect direct calls.
+package relay
+
+import (
+	"context"
+	"encoding/base64"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"samphirewell/internal/api"
+	"samphirewell/internal/peer"
+	"samphirewell/internal/rowstore"
+)
+
+const (
+	// directRetry is the time after a failed direct call in which calls go to another host first. Refusals last seconds; a direct call is
+	// tried again this often.
+	directRetry = time.Second
+	// relayRetry is the time after a relayed call that failed too in which no call is relayed: then the table is probably down for all hosts.
+	relayRetry = 700 * time.Millisecond
+	// relayTimeout bounds one relayed call beyond the time that it waits for changes.
+	relayTimeout = 900 * time.Millisecond
+	// directTimeout bounds a direct call while another host may take it over. A silent table would use up the time of the caller.
+	directTimeout = 600 * time.Millisecond
+)
+
+// Caller sends a request to another host.
+type Caller interface {
+	Call(ctx context.Context, address, method string, params, result any) error
+}
+
+// Store is a rowstore.Store that goes through another host when the direct way fails.
+type Store struct {
+	direct rowstore.Store
+	peers  Caller
+	hosts  func() []string // addresses of other hosts, best first
+	now    func() time.Time
+
+	mu        sync.Mutex
+	avoid     time.Time // until then the direct way is not the first choice
+	noRelay   time.Time // until then no call is relayed
+	nextHost  int
+	OnRelayed func(ok bool) // counts relayed calls; may be nil
+}
+
+var _ rowstore.Store = (*Store)(nil)
+
+// New returns a store. hosts returns the addresses of other hosts.
+func New(direct rowstore.Store, peers Caller, hosts func() []string) *Store {
+	return &Store{direct: direct, peers: peers, hosts: hosts, now: time.Now}
+}
+
+// Commit implements rowstore.Store.
+func (s *Store) Commit(ctx context.Context, tx rowstore.Tx) (rowstore.TxResult, error) {
+	call := api.RelayCall{Kind: api.RelayCallKindCommit, Conditions: []api.RelayRow{}, Puts: rowsOut(tx.Puts), Removes: []api.RelayRow{}}
+	for _, c := range tx.Conditions {
+		call.Conditions = append(call.Conditions, rowOut(rowstore.Row{Key: c.Key, Version: c.Version}))
+	}
+	for _, k := range tx.Removes {
+		call.Removes = append(call.Removes, rowOut(rowstore.Row{Key: k}))
+	}
+	return route(ctx, s, call, 0, func(ctx context.Context) (rowstore.TxResult, error) { return s.direct.Commit(ctx, tx) },
+		func(r api.RelayResult, rows []rowstore.Row) rowstore.TxResult {
+			return rowstore.TxResult{Applied: r.Applied, Version: uint64(r.Version), Current: rows}
+		})
+}
+
+// Scan implements rowstore.Store.
+func (s *Store) Scan(ctx context.Context, table, part string, within rowstore.Range) (rowstore.ScanResult, error) {
+	call := api.RelayCall{Kind: api.RelayCallKindScan, Table: table, Part: part, From: within.From, To: within.To}
+	return route(ctx, s, call, 0, func(ctx context.Context) (rowstore.ScanResult, error) { return s.direct.Scan(ctx, table, part, within) },
+		func(r api.RelayResult, rows []rowstore.Row) rowstore.ScanResult {
+			return rowstore.ScanResult{Rows: rows, More: r.More, Version: uint64(r.Version)}
+		})
+}
+
+// Changes implements rowstore.Store.
+func (s *Store) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (rowstore.Changes, error) {
+	call := api.RelayCall{Kind: api.RelayCallKindChanges, Table: table, After: int(after), WaitMS: int(wait.Milliseconds())}
+	return route(ctx, s, call, wait, func(ctx context.Context) (rowstore.Changes, error) { return s.direct.Changes(ctx, table, after, wait) },
+		func(r api.RelayResult, rows []rowstore.Row) rowstore.Changes {
+			return rowstore.Changes{Rows: rows, Version: uint64(r.Version)}
+		})
+}
+
+// route makes a call on the way that is likely to work, and on the other one if it fails. A call of which one try may have taken effect is never
+// reported as refused.
+func route[T any](ctx context.Context, s *Store, call api.RelayCall, wait time.Duration, direct func(context.Context) (T, error), decode func(api.RelayResult, []rowstore.Row) T) (T, error) {
+	var none T
+	relayFirst, mayRelay := s.ways()
+	var uncertain bool
+	if relayFirst && mayRelay {
+		r, rows, err := s.relay(ctx, call, wait)
+		if err == nil {
+			return decode(r, rows), nil
+		}
+		if errors.Is(err, rowstore.ErrHistoryGone) {
+			return none, err
+		}
+		uncertain = !errors.Is(err, rowstore.ErrNotDone)
+		mayRelay = false
+	}
+	got, err := tryDirect(ctx, s, wait, mayRelay, direct)
+	if err == nil || !retriable(err) {
+		return got, err
+	}
+	uncertain = uncertain || !errors.Is(err, rowstore.ErrNotDone)
+	if mayRelay && ctx.Err() == nil {
+		r, rows, relayErr := s.relay(ctx, call, wait)
+		if relayErr == nil {
+			return decode(r, rows), nil
+		}
+		if errors.Is(relayErr, rowstore.ErrHistoryGone) {
+			return none, relayErr
+		}
+		uncertain = uncertain || !errors.Is(relayErr, rowstore.ErrNotDone)
+	}
+	if uncertain {
+		return none, errors.Wrap(rowstore.ErrUncertain, err.Error())
+	}
+	return none, err
+}
+
+func retriable(err error) bool {
+	return errors.Is(err, rowstore.ErrNotDone) || errors.Is(err, rowstore.ErrUncertain)
+}
+
+// ways tells which way to try first and whether the other hosts may be asked.
+func (s *Store) ways() (relayFirst, mayRelay bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	return now.Before(s.avoid), !now.Before(s.noRelay)
+}
+
+// tryDirect makes a direct call and remembers whether that way works. With another way open the call gets only a part of the time.
+func tryDirect[T any](ctx context.Context, s *Store, wait time.Duration, mayRelay bool, direct func(context.Context) (T, error)) (T, error) {
+	if mayRelay && len(s.hosts()) > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, wait+directTimeout)
+		defer cancel()
+	}
+	got, err := direct(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err == nil:
+		s.avoid = time.Time{}
+	case retriable(err):
+		s.avoid = s.now().Add(directRetry)
+	}
+	return got, err
+}
+
+// relay asks another host to make the call; one host after the other over several calls.
+func (s *Store) relay(ctx context.Context, call api.RelayCall, wait time.Duration) (api.RelayResult, []rowstore.Row, error) {
+	hosts := s.hosts()
+	if len(hosts) == 0 {
+		return api.RelayResult{}, nil, rowstore.ErrNotDone
+	}
+	s.mu.Lock()
+	host := hosts[s.nextHost%len(hosts)]
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, wait+relayTimeout)
+	defer cancel()
+	var r api.RelayResult
+	err := s.peers.Call(ctx, host, peer.MethodRelay, call, &r)
+	if err == nil {
+		err = errorOf(r.Outcome)
+	} else if errors.Is(err, peer.ErrNotSent) || errors.Is(err, peer.ErrRejected) || errors.Is(err, peer.ErrVersion) {
+		err = errors.Wrap(rowstore.ErrNotDone, err.Error())
+	} else {
+		err = errors.Wrap(rowstore.ErrUncertain, err.Error())
+	}
+	s.noteRelay(err, len(hosts))
+	if err != nil {
+		return r, nil, err
+	}
+	rows, err := rowsIn(r.Rows)
+	if err != nil {
+		return r, nil, errors.Wrap(rowstore.ErrUncertain, err.Error())
+	}
+	return r, rows, nil
+}
+
+func (s *Store) noteRelay(err error, hosts int) {
+	failed := err != nil && !errors.Is(err, rowstore.ErrHistoryGone)
+	if s.OnRelayed != nil {
+		s.OnRelayed(!failed)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !failed {
+		return
+	}
+	s.nextHost++
+	if s.nextHost%hosts == 0 {
+		// All hosts were asked in vain.
+		s.noRelay = s.now().Add(relayRetry)
+	}
+}
+
+func errorOf(o api.RelayResultOutcome) error {
+	switch o {
+	case api.RelayResultOutcomeOk:
+		return nil
+	case api.RelayResultOutcomeRefused:
+		return rowstore.ErrNotDone
+	case api.RelayResultOutcomeHistoryGone:
+		return rowstore.ErrHistoryGone
+	}
+	return rowstore.ErrUncertain
+}
+
+func outcomeOf(err error) api.RelayResultOutcome {
+	switch {
+	case err == nil:
+		return api.RelayResultOutcomeOk
+	case errors.Is(err, rowstore.ErrNotDone):
+		return api.RelayResultOutcomeRefused
+	case errors.Is(err, rowstore.ErrHistoryGone):
+		return api.RelayResultOutcomeHistoryGone
+	}
+	return api.RelayResultOutcomeUncertain
+}
+
+// Register adds the method that serves other hosts with the direct store of this one.
+func Register(methods peer.Registry, direct rowstore.Store) {
+	methods[peer.MethodRelay] = peer.Handle(func(ctx context.Context, _ api.HostIdentity, c api.RelayCall) (api.RelayResult, error) {
+		return serve(ctx, direct, c), nil
+	})
+}
+
+func serve(ctx context.Context, direct rowstore.Store, c api.RelayCall) api.RelayResult {
+	wait := time.Duration(c.WaitMS) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, wait+directTimeout)
+	defer cancel()
+	r, err := carryOut(ctx, direct, c, wait)
+	r.Outcome = outcomeOf(err)
+	return r
+}
+
+func carryOut(ctx context.Context, direct rowstore.Store, c api.RelayCall, wait time.Duration) (api.RelayResult, error) {
+	switch c.Kind {
+	case api.RelayCallKindCommit:
+		tx, err := txIn(c)
+		if err != nil {
+			return api.RelayResult{}, errors.Wrap(rowstore.ErrNotDone, err.Error())
+		}
+		got, err := direct.Commit(ctx, tx)
+		return api.RelayResult{Applied: got.Applied, Version: int(got.Version), Rows: rowsOut(got.Current)}, err
+	case api.RelayCallKindScan:
+		got, err := direct.Scan(ctx, c.Table, c.Part, rowstore.Range{From: c.From, To: c.To})
+		return api.RelayResult{More: got.More, Version: int(got.Version), Rows: rowsOut(got.Rows)}, err
+	case api.RelayCallKindChanges:
+		got, err := direct.Changes(ctx, c.Table, uint64(c.After), wait)
+		return api.RelayResult{Version: int(got.Version), Rows: rowsOut(got.Rows)}, err
+	}
+	return api.RelayResult{}, errors.Wrapf(rowstore.ErrNotDone, "unknown kind %q", c.Kind)
+}
+
+func txIn(c api.RelayCall) (rowstore.Tx, error) {
+	var tx rowstore.Tx
+	conditions, err := rowsIn(c.Conditions)
+	if err != nil {
+		return tx, err
+	}
+	removes, err := rowsIn(c.Removes)
+	if err != nil {
+		return tx, err
+	}
+	for _, r := range conditions {
+		tx.Conditions = append(tx.Conditions, rowstore.Condition{Key: r.Key, Version: r.Version})
+	}
+	for _, r := range removes {
+		tx.Removes = append(tx.Removes, r.Key)
+	}
+	tx.Puts, err = rowsIn(c.Puts)
+	return tx, err
+}
+
+func rowOut(r rowstore.Row) api.RelayRow {
+	return api.RelayRow{Table: r.Table, Part: r.Part, Key: r.Key.Key, Value: base64.StdEncoding.EncodeToString(r.Value), Version: int(r.Version), Deleted: r.Deleted}
+}
+
+func rowsOut(rows []rowstore.Row) []api.RelayRow {
+	out := make([]api.RelayRow, 0, len(rows))
+	for _, r := range rows {
+		out = append(out, rowOut(r))
+	}
+	return out
+}
+
+// rowsIn decodes rows of another host.
+func rowsIn(rows []api.RelayRow) ([]rowstore.Row, error) {
+	var out []rowstore.Row
+	for _, r := range rows {
+		value, err := base64.StdEncoding.DecodeString(r.Value)
+		if err != nil {
+			return nil, errors.Wrapf(err, "value of row %s", r.Key)
+		}
+		out = append(out, rowstore.Row{Key: rowstore.Key{Table: r.Table, Part: r.Part, Key: r.Key}, Value: value, Version: uint64(r.Version), Deleted: r.Deleted})
+	}
+	return out, nil
+}
