Bound what an urgent claim throws away, keep room for urgent work, serve jobs in time first

Change: a claim has a budget of lost work that grows with its wait (without bound within a guarantee); victims are chosen by cost; other work leaves the usual need of urgent work free; jobs that can still meet their objective come first.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -49,6 +49,7 @@
 	freeze  bool     // no new starts
 	deposed bool
 	times   runTimes
+	demand  demand
 	wall    int64         // time of day of the last Tick, Unix milliseconds
 	now     time.Duration // of the present call
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -190,6 +190,9 @@
 	c.addWorkers(in, service, now)
 	c.addRuns(in, within, now)
 	c.addRequests(in, ready, within, now)
+	use := urgentUse(in.workers)
+	c.demand.record(now, use, usableRoom(in.Workers))
+	in.Keep = c.demand.keep(use)
 	d := placement.Plan(in.Input)
 	for _, i := range d.Stops {
 		c.stopUnit(in.runs[i], now, "preempted")
@@ -199,6 +202,17 @@
 	}
 }
 
+// usableRoom returns the room of the workers that may get new work, in core equivalents.
+func usableRoom(workers []placement.Worker) float64 {
+	sum := 0.0
+	for _, w := range workers {
+		if w.Usable {
+			sum += w.Capacity.CoreEquivalents()
+		}
+	}
+	return sum
+}
+
 func (c *Core) placeAll(in *planInput, p placement.Placement, now time.Duration) {
 	units := in.units[p.Request]
 	if in.Requests[p.Request].Gang {
@@ -298,13 +312,14 @@
 	}
 }
 
-// compareUnits orders units by urgency: priority, then claims within a guarantee, then the time at which the job misses its objective.
+// compareUnits orders units by urgency: priority, then claims within a guarantee, then jobs that can still meet their objective, then age.
 func (c *Core) compareUnits(a, b *unit, within map[*job]bool) int {
 	if a.job == b.job {
 		return cmp.Or(cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.step, b.step), cmp.Compare(len(a.failed), len(b.failed)))
 	}
 	return cmp.Or(cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority),
 		cmp.Compare(rank(within[a.job]), rank(within[b.job])),
+		cmp.Compare(rank(c.inTime(a)), rank(c.inTime(b))),
 		cmp.Compare(a.job.AcceptedMS, b.job.AcceptedMS), cmp.Compare(a.job.seq, b.job.seq))
 }
 
@@ -329,6 +344,8 @@
 		r.Count = len(u.tasks)
 	}
 	r.Spread = r.Claim && waited > spreadAfter
+	r.Budget = c.budgetOf(u, within[u.job], waited)
+	r.Filler = spec.Checkpoints && u.job.Queue.Priority > 1
 	r.Used = c.usedBy(in, u)
 	r.Avoid = c.avoidOf(in, u)
 	in.Requests = append(in.Requests, r)
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -16,6 +16,9 @@
 
 // fit returns a worker for each of count tasks; for a gang all or none, else as many as fit.
 func (p *planner) fit(r *Request, count int, room roomOf) []int {
+	if count == 0 {
+		return nil
+	}
 	if r.Gang {
 		if got := p.fitWhole(r, count, room); len(got) == count {
 			return got
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -16,6 +16,8 @@
 	maxReservations = 2
 	// victimCost is added to the lost work of each stopped unit, in core-seconds, so that few victims are preferred to many.
 	victimCost = 20
+	// urgentLossWeight is the weight of lost work of the first two classes relative to the others; the users value an hour of it about twice as much.
+	urgentLossWeight = 2
 )
 
 // Worker is a worker of the service that is planned for.
@@ -61,6 +63,8 @@
 	Avoid    map[int]bool // workers on which it failed
 	Spread   bool         // may leave its rack
 	Claim    bool         // may stop less urgent runs
+	Budget   float64      // most work that a claim may throw away, core-seconds
+	Filler   bool         // loses next to nothing when it is stopped, so it may use the room that is kept for urgent work
 	Waited   time.Duration
 }
 
@@ -81,6 +85,8 @@
 	Workers  []Worker
 	Runs     []Run
 	Requests []Request
+	// Keep is the room that requests without a claim leave free for urgent work to come, in core equivalents.
+	Keep float64
 }
 
 // Plan decides one cycle. It changes Free and Soon of the workers.
@@ -102,6 +108,7 @@
 	byWorker     [][]int // runs on each worker, cheapest first
 	stopped      []bool
 	reservations int
+	spare        float64 // free room beyond what is kept, core equivalents
 	out          Decision
 }
 
@@ -113,14 +120,18 @@
 		}
 		p.racks[w.Rack] = append(p.racks[w.Rack], i)
 		p.all = append(p.all, i)
+		if w.Usable {
+			p.spare += max(0, w.Free.CoreEquivalents())
+		}
 	}
+	p.spare -= in.Keep
 	return p
 }
 
 // serve places a request as far as it fits, and makes or keeps room for the rest.
 func (p *planner) serve(i int) {
 	r := &p.requests[i]
-	placed := p.fit(r, r.Count, freeRoom)
+	placed := p.fit(r, p.allowed(r), freeRoom)
 	if len(placed) > 0 {
 		p.take(r, placed)
 		p.out.Placements = append(p.out.Placements, Placement{i, placed})
@@ -136,6 +147,19 @@
 	p.reserve(r)
 }
 
+// allowed returns how many tasks of the request may start without using the room that is kept.
+func (p *planner) allowed(r *Request) int {
+	need := r.Step.Need.CoreEquivalents()
+	if r.Claim || r.Filler || need == 0 {
+		return r.Count
+	}
+	n := int(max(0, p.spare) / need)
+	if r.Gang && n < r.Count {
+		return 0
+	}
+	return min(n, r.Count)
+}
+
 // claim keeps room that becomes free for the rest of the request, and stops less urgent runs for what is missing.
 func (p *planner) claim(r *Request, rest int) {
 	coming := p.fit(r, rest, soonRoom)
@@ -144,15 +168,19 @@
 	if rest == 0 {
 		return
 	}
-	workers, victims := p.makeRoom(r, rest)
-	for _, v := range victims {
-		p.stop(v)
+	workers, victims, cost := p.makeRoom(r, rest)
+	if cost <= r.Budget {
+		for _, v := range victims {
+			p.stop(v)
+		}
 	}
+	// Without the victims too, what is free on these workers waits for the claim.
 	p.take(r, workers)
 }
 
 // take deducts the room of the request's tasks. Free may become negative where the room is still to come.
 func (p *planner) take(r *Request, workers []int) {
+	p.spare -= float64(len(workers)) * r.Step.Need.CoreEquivalents()
 	for _, w := range workers {
 		p.workers[w].Free = p.workers[w].Free.Minus(r.Step.Need)
 		p.workers[w].Soon = p.workers[w].Soon.Minus(r.Step.Need)
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -8,8 +8,8 @@
 	"samphirewell/internal/batch"
 )
 
-// makeRoom returns workers for count tasks and the runs to stop for them; for a gang that can't be served, nothing.
-func (p *planner) makeRoom(r *Request, count int) (workers, victims []int) {
+// makeRoom returns workers for count tasks, the runs to stop for them and the work that this throws away; for a gang that can't be served, nothing.
+func (p *planner) makeRoom(r *Request, count int) (workers, victims []int, lost float64) {
 	p.indexRuns()
 	bestCost := math.Inf(1)
 	for _, group := range p.groups(r) {
@@ -19,10 +19,10 @@
 			continue
 		}
 		if cost := t.cost + missingCost*float64(count-len(got)); cost < bestCost {
-			workers, victims, bestCost = got, t.victims, cost
+			workers, victims, bestCost, lost = got, t.victims, cost, t.cost
 		}
 	}
-	return workers, victims
+	return workers, victims, lost
 }
 
 // missingCost is the cost of a task that stays without a worker, in core-seconds; it exceeds that of any victim.
@@ -63,12 +63,20 @@
 	}
 	for _, on := range p.byWorker {
 		slices.SortFunc(on, func(a, b int) int {
-			return cmp.Or(-cmp.Compare(p.runs[a].Priority, p.runs[b].Priority),
-				cmp.Compare(p.runs[a].Loss, p.runs[b].Loss), cmp.Compare(a, b))
+			return cmp.Or(cmp.Compare(p.runs[a].cost(), p.runs[b].cost()), cmp.Compare(a, b))
 		})
 	}
 }
 
+// cost is what stopping the run costs, in core-seconds. Work of a more urgent class counts more.
+func (r *Run) cost() float64 {
+	weight := 1.0
+	if r.Priority <= 1 {
+		weight = urgentLossWeight
+	}
+	return weight*r.Loss + victimCost
+}
+
 // mayStop reports whether the request may take the room of the run.
 func mayStop(r *Request, run *Run) bool {
 	if run.Fixed {
@@ -123,7 +131,7 @@
 func (t *trial) choose(run int) {
 	t.chosen[run] = true
 	t.victims = append(t.victims, run)
-	t.cost += t.p.runs[run].Loss + victimCost
+	t.cost += t.p.runs[run].cost()
 	for _, part := range t.p.runs[run].Parts {
 		t.room[part.Worker] = t.roomOn(part.Worker).Plus(part.Need)
 	}
@@ -174,7 +182,7 @@
 			}
 		}
 		victims = append(victims, i)
-		cost += run.Loss + victimCost
+		cost += run.cost()
 	}
 	return victims, cost, room.Holds(need)
 }
