Let strong hosts lead

Cause: on the grown deployments a host with 0.19 of a core could lead and was saturated by 350 workers. Change: a host claims later the less processor time it has, compared with the last leader.

--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -163,7 +163,7 @@
 func (h *Host) tryLead(ctx context.Context, observed rowstore.Row) {
 	log := h.options.Log
 	session, err := lead.Claim(ctx, h.options.Store, leaderKey, observed,
-		lead.Row{Host: h.options.HostID, Address: h.options.Address, Boot: h.options.Boot})
+		lead.Row{Host: h.options.HostID, Address: h.options.Address, Processors: h.options.Processors, Boot: h.options.Boot})
 	if err != nil {
 		log.WithError(err).Info("claim of leadership failed")
 		return
--- /dev/null
+++ b/internal/lead/lead_test.go
@@ -0,0 +1,153 @@
+package lead
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"samphirewell/internal/rowstore"
+	"samphirewell/internal/rowstore/memstore"
+)
+
+var (
+	key    = rowstore.Key{Table: "states", Key: "leader"}
+	rowKey = rowstore.Key{Table: "states", Key: "row"}
+)
+
+func stored(t *testing.T, s rowstore.Store, k rowstore.Key) rowstore.Row {
+	rows, _, err := rowstore.ScanAll(context.Background(), s, k.Table, []string{""})
+	must.NoError(t, err)
+	for _, r := range rows {
+		if r.Key == k {
+			return r
+		}
+	}
+	return rowstore.Row{}
+}
+
+func claim(t *testing.T, s rowstore.Store, boot string) *Session {
+	l, err := Claim(context.Background(), s, key, stored(t, s, key), Row{Host: "h", Processors: 1, Boot: boot})
+	must.NoError(t, err)
+	return l
+}
+
+func put(value string) []rowstore.Row { return []rowstore.Row{{Key: rowKey, Value: []byte(value)}} }
+
+// Guards against a host that goes on writing after another one has claimed.
+func TestOldLeaderCannotWrite(t *testing.T) {
+	s := memstore.New()
+	old := claim(t, s, "a")
+	must.NoError(t, old.Commit(context.Background(), put("1"), nil))
+	next := claim(t, s, "b")
+	must.Eq(t, old.Epoch()+1, next.Epoch())
+	must.ErrorIs(t, old.Commit(context.Background(), put("2"), nil), ErrDeposed)
+	must.Eq(t, "1", string(stored(t, s, rowKey).Value))
+}
+
+// Guards against taking the own transaction, whose answer was lost, for the claim of another host.
+func TestLostAnswerIsNotADeposition(t *testing.T) {
+	for _, fault := range []memstore.Fault{memstore.LoseAfter, memstore.LoseBefore, memstore.Refuse} {
+		s := memstore.New()
+		l := claim(t, s, "a")
+		lose := true
+		s.SetFault(func(string) memstore.Fault {
+			if lose {
+				lose = false
+				return fault
+			}
+			return memstore.None
+		})
+		must.NoError(t, l.Commit(context.Background(), put("1"), nil))
+		s.SetFault(nil)
+		must.Eq(t, "1", string(stored(t, s, rowKey).Value))
+		must.NoError(t, l.Commit(context.Background(), put("2"), nil))
+	}
+}
+
+// Guards against a transaction that the store carries out seconds late, after newer ones: it must not bring back old rows.
+func TestLateTransactionHasNoEffect(t *testing.T) {
+	s := memstore.New()
+	l := claim(t, s, "a")
+	first := true
+	s.SetFault(func(string) memstore.Fault {
+		if first {
+			first = false
+			return memstore.Delay
+		}
+		return memstore.None
+	})
+	must.NoError(t, l.Commit(context.Background(), put("1"), nil))
+	must.NoError(t, l.Commit(context.Background(), put("2"), nil))
+	must.Eq(t, 0, s.ApplyDelayed())
+	must.Eq(t, "2", string(stored(t, s, rowKey).Value))
+}
+
+func observed(w *Watch, s *Session, t *testing.T, store rowstore.Store, now time.Time) {
+	w.Observe([]rowstore.Row{stored(t, store, key)}, true, now)
+	w.Fresh(now)
+	_ = s
+}
+
+// Guards against a claim while the leader may be alive, and against one that comes too late or not at all.
+func TestClaimFollowsTheLossOfTheLeader(t *testing.T) {
+	store := memstore.New()
+	l := claim(t, store, "a")
+	w := NewWatch(key, "x", 1)
+	start := time.Unix(1000, 0)
+	observed(w, l, t, store, start)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	due := func(ms int) bool {
+		w.Fresh(at(ms))
+		_, ok := w.ClaimDue(at(ms))
+		return ok
+	}
+	must.False(t, due(600))
+	_, _, ask := w.AskDue(at(600))
+	must.False(t, ask)
+	w.Fresh(at(900))
+	_, version, ask := w.AskDue(at(900))
+	must.True(t, ask)
+	must.False(t, due(950), must.Sprint("the leader may still answer"))
+	w.MarkLost(version)
+	must.True(t, due(960))
+	must.NoError(t, l.Commit(context.Background(), nil, nil))
+	observed(w, l, t, store, at(970))
+	must.False(t, due(980), must.Sprint("the leader has written after all"))
+	for ms := 970; ms < 970+2500; ms += 500 {
+		must.False(t, due(ms))
+	}
+	must.True(t, due(970+2700), must.Sprint("a leader that answers but never writes"))
+}
+
+// Guards against all hosts claiming at once after an outage in which nobody, the leader included, could reach the store.
+func TestOutageOfTheStoreIsNoLossOfTheLeader(t *testing.T) {
+	store := memstore.New()
+	l := claim(t, store, "a")
+	w := NewWatch(key, "x", 1)
+	start := time.Unix(1000, 0)
+	observed(w, l, t, store, start)
+	_, due := w.ClaimDue(start.Add(8 * time.Second))
+	must.False(t, due, must.Sprint("the table was not read for 8 s"))
+	w.Fresh(start.Add(9 * time.Second))
+	_, due = w.ClaimDue(start.Add(9 * time.Second))
+	must.False(t, due, must.Sprint("the leader has had no time to write again"))
+}
+
+// Guards against a weak host that leads although a strong one lives, and against a slow handover when a leader stops.
+func TestWeakHostsClaimLater(t *testing.T) {
+	store := memstore.New()
+	l := claim(t, store, "a")
+	must.NoError(t, l.Release(context.Background(), nil, nil))
+	start := time.Unix(1000, 0)
+	strong, weak := NewWatch(key, "x", 1), NewWatch(key, "x", 0.2)
+	observed(strong, l, t, store, start)
+	observed(weak, l, t, store, start)
+	_, due := strong.ClaimDue(start.Add(200 * time.Millisecond))
+	must.True(t, due)
+	_, due = weak.ClaimDue(start.Add(200 * time.Millisecond))
+	must.False(t, due)
+	_, due = weak.ClaimDue(start.Add(time.Second))
+	must.True(t, due)
+}
--- a/internal/lead/watch.go
+++ b/internal/lead/watch.go
@@ -20,20 +20,24 @@
 	// lets a leader write twice a second. A false alarm costs a takeover but breaks nothing.
 	staleAfter = 2500 * time.Millisecond
 	// claimSpread spreads the claims of hosts, so that mostly one claims.
-	claimSpread = 250 * time.Millisecond
+	claimSpread = 150 * time.Millisecond
+	// weakDelay is how much later a host without any processor time claims than one like the last leader: more than the time in which the
+	// claim of a strong host is seen by all others, and than the differences between the starts of hosts (0.3 s).
+	weakDelay = time.Second
 )
 
 // Watch follows the leader row. It is safe for concurrent use.
 type Watch struct {
-	mu      sync.Mutex
-	key     rowstore.Key
-	delay   time.Duration // of this host's claims
-	row     rowstore.Row
-	known   bool      // the table was read at least once
-	changed time.Time // when the row last changed
-	fresh   time.Time // when the table was last read
-	asked   time.Time // when the leader was last asked
-	dead    uint64    // version of the row whose leader didn't answer or can't write
+	mu         sync.Mutex
+	key        rowstore.Key
+	delay      time.Duration // of this host's questions and claims
+	processors float64       // of this host, in cores
+	row        rowstore.Row
+	known      bool      // the table was read at least once
+	changed    time.Time // when the row last changed
+	fresh      time.Time // when the table was last read
+	asked      time.Time // when the leader was last asked
+	dead       uint64    // version of the row whose leader didn't answer or can't write
 }
 
 // NewWatch returns a watch for a host. key is that of the leader row. Hosts with more processors claim earlier: leading costs more than
@@ -42,16 +46,15 @@
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(host))
 	spread := time.Duration(h.Sum32()%1000) * claimSpread / 1000
-	weak := time.Duration(float64(claimSpread) * max(0, 1-processors))
-	return &Watch{key: key, delay: (spread + weak) / 2}
+	return &Watch{key: key, delay: spread, processors: processors}
 }
 
 // Observe takes rows of the table; all tells that they are its whole contents.
 func (w *Watch) Observe(rows []rowstore.Row, all bool, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if all {
-		w.known = true
+	if all && !w.known {
+		w.known, w.changed = true, now
 	}
 	for _, r := range rows {
 		if r.Key == w.key && r.Version > w.row.Version {
@@ -113,12 +116,20 @@
 		return rowstore.Row{}, false
 	}
 	if w.row.Version == 0 {
-		return w.row, now.Sub(w.changed) > w.delay
+		return w.row, now.Sub(w.changed) > w.delay+w.weakness(1)
 	}
 	r, err := Decode(w.row.Value)
 	wait := staleAfter
 	if err == nil && (r.Released || w.dead == w.row.Version) {
 		wait = 0
 	}
-	return w.row, now.Sub(w.changed) > wait+w.delay
+	return w.row, now.Sub(w.changed) > wait+w.delay+w.weakness(r.Processors)
+}
+
+// weakness is the further delay of claims of a host that has less processor time than the last leader.
+func (w *Watch) weakness(leader float64) time.Duration {
+	if leader <= 0 {
+		return 0
+	}
+	return time.Duration(float64(weakDelay) * max(0, 1-w.processors/leader))
 }
