List tables of more than one page, renew the leader row while restoring

Cause 2: a host that reads the rows of earlier leaders (1.1 s on a host with 0.19 of a core) neither renewed its row nor said that it leads, so hosts took leadership from each other 20 times. Change: pages begin at the last key; the row is renewed while restoring; weak hosts wait after the loss of a leader was noticed.

--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -179,14 +179,15 @@
 func (h *Host) lead(ctx context.Context, session *lead.Session) error {
 	run, stop := context.WithCancel(ctx)
 	defer stop()
+	h.setRunner(nil, session.Epoch())
+	defer h.setRunner(nil, 0)
 	core := dispatch.New(session.Epoch(), h.intake.Policy(), h.options.Bounds, h.options.Log)
-	version, err := h.restore(run, core)
+	version, err := h.restoreAlive(run, core, session)
 	if err != nil {
 		return err
 	}
 	r := dispatch.NewRunner(core, session, h.options.Links, h.options.Clock, h.options.Metrics, h.options.Log)
 	h.setRunner(r, session.Epoch())
-	defer h.setRunner(nil, 0)
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer stop()
@@ -208,6 +209,30 @@
 	h.runner, h.epoch = r, epoch
 }
 
+// restoreAlive restores while it renews the leader row: reading the rows of many jobs takes a weak host longer than others wait for a sign of
+// life.
+func (h *Host) restoreAlive(ctx context.Context, core *dispatch.Core, session *lead.Session) (uint64, error) {
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	restored, stopRenewing := context.WithCancel(ctx)
+	var group sync.WaitGroup
+	group.Go(func() {
+		for lead.Sleep(restored, lead.RenewEvery) {
+			// The transaction outlives the end of the renewals, since its result has to be known before the next one.
+			if err := session.Commit(ctx, nil, nil); err != nil {
+				stop(err)
+			}
+		}
+	})
+	version, err := h.restore(ctx, core)
+	stopRenewing()
+	group.Wait()
+	if cause := context.Cause(ctx); cause != nil {
+		return 0, cause
+	}
+	return version, err
+}
+
 // restore reads what earlier leaders have stored and returns the version from which the inbox is followed.
 func (h *Host) restore(ctx context.Context, core *dispatch.Core) (uint64, error) {
 	for {
--- a/internal/batchhost/leader.go
+++ b/internal/batchhost/leader.go
@@ -30,7 +30,8 @@
 	r, epoch := h.runner, h.epoch
 	h.mu.Unlock()
 	if r == nil {
-		return api.LeaderStatus{}
+		// With an epoch the host still reads what earlier leaders have stored.
+		return api.LeaderStatus{Leading: epoch > 0, Epoch: int(epoch)}
 	}
 	age, refused := r.WriteAge()
 	return api.LeaderStatus{Leading: true, Epoch: int(epoch), WriteAgeMS: int(age.Milliseconds()), Refused: refused}
@@ -51,7 +52,7 @@
 	}
 	entry.Info("asked a silent leader")
 	if lost {
-		h.watch.MarkLost(version)
+		h.watch.MarkLost(version, time.Now())
 	}
 }
 
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -110,7 +110,7 @@
 	_, version, ask := w.AskDue(at(900))
 	must.True(t, ask)
 	must.False(t, due(950), must.Sprint("the leader may still answer"))
-	w.MarkLost(version)
+	w.MarkLost(version, at(955))
 	must.True(t, due(960))
 	must.NoError(t, l.Commit(context.Background(), nil, nil))
 	observed(w, l, t, store, at(970))
--- a/internal/lead/session.go
+++ b/internal/lead/session.go
@@ -29,9 +29,10 @@
 	Address string `json:"addr"` // ip:port on which other hosts reach it
 	// Processors is the processor time that the host may use, in cores.
 	Processors float64 `json:"cores"`
-	Boot       string  `json:"boot"`  // identifies one process of the host
-	Epoch      uint64  `json:"epoch"` // fencing token; rises with each claim
-	Seq        uint64  `json:"seq"`   // rises with each transaction of the leader
+	Strongest  float64 `json:"strongest"` // most processor time of a leader so far
+	Boot       string  `json:"boot"`      // identifies one process of the host
+	Epoch      uint64  `json:"epoch"`     // fencing token; rises with each claim
+	Seq        uint64  `json:"seq"`       // rises with each transaction of the leader
 	Released   bool    `json:"released,omitempty"`
 }
 
@@ -59,13 +60,14 @@
 // Claim makes the host the leader if the leader row still has the observed version; 0 if there is none. The error is ErrDeposed if
 // another host was faster, or that of ctx. self names the host, its address and its process.
 func Claim(ctx context.Context, s rowstore.Store, key rowstore.Key, observed rowstore.Row, self Row) (*Session, error) {
-	row := Row{Host: self.Host, Address: self.Address, Processors: self.Processors, Boot: self.Boot, Epoch: 1}
+	row := Row{Host: self.Host, Address: self.Address, Processors: self.Processors, Strongest: self.Processors, Boot: self.Boot, Epoch: 1}
 	if observed.Version > 0 {
 		last, err := Decode(observed.Value)
 		if err != nil {
 			return nil, err
 		}
 		row.Epoch = last.Epoch + 1
+		row.Strongest = max(row.Strongest, last.Strongest)
 	}
 	l := &Session{store: s, key: key, version: observed.Version}
 	if err := l.write(ctx, row, nil, nil); err != nil {
--- a/internal/lead/watch.go
+++ b/internal/lead/watch.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"context"
 	"hash/fnv"
 	"sync"
 	"time"
@@ -21,7 +22,7 @@
 	staleAfter = 2500 * time.Millisecond
 	// claimSpread spreads the claims of hosts, so that mostly one claims.
 	claimSpread = 150 * time.Millisecond
-	// weakDelay is how much later a host without any processor time claims than one like the last leader: more than the time in which the
+	// weakDelay is how much later a host without any processor time claims than one like the strongest leader so far: more than the time in which the
 	// claim of a strong host is seen by all others, and than the differences between the starts of hosts (0.3 s).
 	weakDelay = time.Second
 )
@@ -38,6 +39,7 @@
 	fresh      time.Time // when the table was last read
 	asked      time.Time // when the leader was last asked
 	dead       uint64    // version of the row whose leader didn't answer or can't write
+	deadAt     time.Time // when dead was set
 }
 
 // NewWatch returns a watch for a host. key is that of the leader row. Hosts with more processors claim earlier: leading costs more than
@@ -91,10 +93,10 @@
 }
 
 // MarkLost notes that the leader with this version of the row doesn't answer or can't write.
-func (w *Watch) MarkLost(version uint64) {
+func (w *Watch) MarkLost(version uint64, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.dead = version
+	w.dead, w.deadAt = version, now
 }
 
 // Leader returns the present leader's row, if there is one.
@@ -119,17 +121,32 @@
 		return w.row, now.Sub(w.changed) > w.delay+w.weakness(1)
 	}
 	r, err := Decode(w.row.Value)
-	wait := staleAfter
-	if err == nil && (r.Released || w.dead == w.row.Version) {
-		wait = 0
+	late := w.weakness(r.Strongest)
+	switch {
+	case err == nil && r.Released:
+		return w.row, now.Sub(w.changed) > w.delay+late
+	case err == nil && w.dead == w.row.Version:
+		return w.row, now.Sub(w.deadAt) >= late
 	}
-	return w.row, now.Sub(w.changed) > wait+w.delay+w.weakness(r.Processors)
+	return w.row, now.Sub(w.changed) > staleAfter+w.delay+late
 }
 
-// weakness is the further delay of claims of a host that has less processor time than the last leader.
-func (w *Watch) weakness(leader float64) time.Duration {
-	if leader <= 0 {
+// Sleep waits and reports whether ctx goes on.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// weakness is the further delay of claims of a host that has less processor time than the strongest leader so far.
+func (w *Watch) weakness(strongest float64) time.Duration {
+	if strongest <= 0 {
 		return 0
 	}
-	return time.Duration(float64(weakDelay) * max(0, 1-w.processors/leader))
+	return time.Duration(float64(weakDelay) * max(0, 1-w.processors/strongest))
 }
--- a/internal/rowstore/memstore/memstore.go
+++ b/internal/rowstore/memstore/memstore.go
@@ -23,6 +23,9 @@
 	late    []rowstore.Tx
 }
 
+// scanRows bounds the rows of one scan, as the users' store does.
+const scanRows = 500
+
 // Fault is what happens to a call.
 type Fault int
 
@@ -146,7 +149,8 @@
 func (s *Store) Scan(_ context.Context, table, part string, within rowstore.Range) (rowstore.ScanResult, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.faultOf("scan") != None {
+	if s.faultOf("scan") != None || strings.Contains(within.From, "\x00") {
+		// Keys are text; a key with a zero byte is refused.
 		return rowstore.ScanResult{}, rowstore.ErrNotDone
 	}
 	out := rowstore.ScanResult{Version: s.version}
@@ -156,6 +160,9 @@
 		}
 	}
 	slices.SortFunc(out.Rows, func(a, b rowstore.Row) int { return strings.Compare(a.Key.Key, b.Key.Key) })
+	if len(out.Rows) > scanRows {
+		out.Rows, out.More = out.Rows[:scanRows], true
+	}
 	return out, nil
 }
 
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -89,6 +89,9 @@
 			if err != nil {
 				return nil, 0, err
 			}
+			if !first && len(r.Rows) > 0 && r.Rows[0].Key.Key == from {
+				r.Rows = r.Rows[1:] // the last row of the page before
+			}
 			rows = append(rows, r.Rows...)
 			if first && (i == 0 || r.Version < oldest) {
 				oldest = r.Version
@@ -96,7 +99,7 @@
 			if !r.More || len(r.Rows) == 0 {
 				break
 			}
-			from = r.Rows[len(r.Rows)-1].Key.Key + "\x00"
+			from = r.Rows[len(r.Rows)-1].Key.Key
 		}
 	}
 	return rows, oldest, nil
