--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -329,18 +329,26 @@
 			return
 		case <-ticker.C:
 		}
-		var ids []string
-		r.Do(func(c *dispatch.Core, _ time.Duration) { ids = c.TakeRetired() })
-		for _, id := range ids {
-			h.tidy(ctx, intake.EndJob(id), id)
+		var retired []dispatch.Retired
+		var forgotten []string
+		r.Do(func(c *dispatch.Core, _ time.Duration) { retired, forgotten = c.TakeRetired(), c.TakeForgotten() })
+		for _, j := range retired {
+			tx, err := intake.EndJob(j.ID, j.Queue)
+			h.tidy(ctx, tx, err, j.ID)
+		}
+		for _, id := range forgotten {
+			h.tidy(ctx, intake.ForgetJob(id), nil, id)
 		}
 	}
 }
 
-func (h *Host) tidy(ctx context.Context, tx rowstore.Tx, id string) {
+func (h *Host) tidy(ctx context.Context, tx rowstore.Tx, err error, id string) {
 	ctx, cancel := context.WithTimeout(ctx, cleanupTimeout)
 	defer cancel()
-	if _, err := h.options.Store.Commit(ctx, tx); err != nil {
+	if err == nil {
+		_, err = h.options.Store.Commit(ctx, tx)
+	}
+	if err != nil {
 		h.options.Log.WithField("job", id).WithError(err).Info("submission of an ended job stays for now")
 	}
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -24,6 +24,11 @@
 	authorityAfterCommit = 4 * time.Second
 	// clockRate is the slowest rate of a worker's clock relative to ours.
 	clockRate = 0.98
+	// keepEnded is how long the state of an ended job is kept: longer than callers may ask for it (120 s) and than a
+	// repeated submission may be on its way. It is measured on the steady clock, and begins anew with each leader.
+	keepEnded = 10 * time.Minute
+	// forgetEvery is the period in which old states are looked for.
+	forgetEvery = 10 * time.Second
 	// lapseMargin is added to computed ends of leases, for timers that fire late.
 	lapseMargin = 100 * time.Millisecond
 )
@@ -35,28 +40,30 @@
 	log     logrus.FieldLogger
 	policy  *batch.Policy
 	jobs    map[string]*job
-	live    []*job // jobs that aren't final, in order of arrival
-	ended   map[string]batch.State
+	live    []*job                   // jobs that aren't final, in order of arrival
+	ended   map[string]time.Duration // when the end of the job was stored, or when this leader took over
 	workers map[string]*worker
 	seq     int
 
-	rows    rowQueue
-	effects []effect
-	orders  []Order
-	wakes   []string // workers whose reading has to go on
-	retire  []string // ids of ended jobs whose submission may be replaced by a tombstone
-	dirty   bool     // something changed since the last plan
-	freeze  bool     // no new starts
-	deposed bool
-	times   runTimes
-	demand  demand
-	wall    int64         // time of day of the last Tick, Unix milliseconds
-	now     time.Duration // of the present call
+	rows     rowQueue
+	effects  []effect
+	orders   []Order
+	wakes    []string  // workers whose reading has to go on
+	retire   []Retired // ended jobs whose submission may be replaced by a tombstone
+	forget   []string  // ids of jobs of which nothing is kept any more
+	dirty    bool      // something changed since the last plan
+	freeze   bool      // no new starts
+	deposed  bool
+	times    runTimes
+	demand   demand
+	forgotAt time.Duration
+	wall     int64         // time of day of the last Tick, Unix milliseconds
+	now      time.Duration // of the present call
 }
 
 // New returns the core of a new leader. now is the time at which its epoch was stored.
 func New(epoch uint64, policy *batch.Policy, bounds Bounds, log logrus.FieldLogger) *Core {
-	return &Core{epoch: epoch, bounds: bounds, log: log, policy: policy, jobs: map[string]*job{}, ended: map[string]batch.State{},
+	return &Core{epoch: epoch, bounds: bounds, log: log, policy: policy, jobs: map[string]*job{}, ended: map[string]time.Duration{},
 		workers: map[string]*worker{}, rows: rowQueue{marked: map[rowID]bool{}}, dirty: true, times: runTimes{}}
 }
 
@@ -84,13 +91,39 @@
 	return out
 }
 
-// TakeRetired returns the ids of ended jobs whose end is stored.
-func (c *Core) TakeRetired() []string {
+// Retired is a job whose end is stored.
+type Retired struct{ ID, Queue string }
+
+// TakeRetired returns jobs whose end is stored.
+func (c *Core) TakeRetired() []Retired {
 	out := c.retire
 	c.retire = nil
 	return out
 }
 
+// TakeForgotten returns the ids of jobs whose state is no longer kept.
+func (c *Core) TakeForgotten() []string {
+	out := c.forget
+	c.forget = nil
+	return out
+}
+
+// forgetOld deletes the states of jobs that ended long ago.
+func (c *Core) forgetOld(now time.Duration) {
+	if now-c.forgotAt < forgetEvery {
+		return
+	}
+	c.forgotAt = now
+	for id, at := range c.ended {
+		if now-at < keepEnded {
+			continue
+		}
+		delete(c.ended, id)
+		c.rows.remove(stateRow(id))
+		c.afterStored(stateRow(id), func() { c.forget = append(c.forget, id) })
+	}
+}
+
 // AddJob takes in an accepted job. Adding a known job again has no effect.
 func (c *Core) AddJob(j batch.Job, now time.Duration) {
 	if c.jobs[j.ID] != nil {
@@ -151,7 +184,7 @@
 
 // retireJob forgets a job whose end is stored, and deletes its task rows.
 func (c *Core) retireJob(j *job) {
-	c.ended[j.ID] = j.state
+	c.ended[j.ID] = c.now
 	delete(c.jobs, j.ID)
 	for i, l := range c.live {
 		if l == j {
@@ -168,7 +201,7 @@
 			}
 		}
 	}
-	c.retire = append(c.retire, j.ID)
+	c.retire = append(c.retire, Retired{j.ID, j.Queue.Name})
 }
 
 func (c *Core) logJob(j *job) *logrus.Entry {
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -24,7 +24,6 @@
 	highest map[string]int // highest run that was stopped or has ended, by task
 	ended   []EndReport
 	count   uint64
-	acked   uint64
 	broken  bool // fails everything that it starts
 	hangs   bool // what it runs makes no progress
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -32,6 +32,7 @@
 			c.openSteps(j, now)
 		}
 	}
+	c.forgetOld(now)
 }
 
 func (c *Core) sortedWorkers() []*worker {
--- a/internal/dispatch/restore.go
+++ b/internal/dispatch/restore.go
@@ -23,12 +23,12 @@
 	}
 	for id, s := range known {
 		if s.Final() {
-			c.ended[id] = s
+			c.ended[id] = now
 		}
 	}
 	for _, j := range jobs {
-		if c.ended[j.ID] != "" {
-			c.retire = append(c.retire, j.ID)
+		if _, over := c.ended[j.ID]; over {
+			c.retire = append(c.retire, Retired{j.ID, j.Queue.Name})
 			continue
 		}
 		n := c.insert(j, now)
--- a/internal/dispatch/rows.go
+++ b/internal/dispatch/rows.go
@@ -57,9 +57,8 @@
 
 // rowQueue holds the rows that have to be written, oldest change first.
 type rowQueue struct {
-	order   []rowID
-	marked  map[rowID]bool // true if the row is to be deleted
-	removed map[rowID]bool
+	order  []rowID
+	marked map[rowID]bool // true if the row is to be deleted
 }
 
 func (q *rowQueue) mark(id rowID) {
@@ -143,8 +142,7 @@
 type stateValue struct {
 	Queue     string      `json:"q"`
 	State     batch.State `json:"s"`
-	Scheduled bool        `json:"d,omitempty"`  // has a schedule
-	EndedMS   int64       `json:"at,omitempty"` // Unix milliseconds of the end
+	Scheduled bool        `json:"d,omitempty"` // has a schedule
 }
 
 // taskValue is a task in the row of its chunk.
@@ -166,11 +164,7 @@
 		return nil, false
 	}
 	if id.kind == stateRows {
-		v := stateValue{Queue: j.Queue.Name, State: j.state, Scheduled: j.Schedule != nil}
-		if j.state.Final() {
-			v.EndedMS = c.wall
-		}
-		return mustEncode(v), true
+		return mustEncode(stateValue{Queue: j.Queue.Name, State: j.state, Scheduled: j.Schedule != nil}), true
 	}
 	return mustEncode(c.chunk(j, id)), true
 }
@@ -213,14 +207,5 @@
 	return v.Queue, v.State, v.Scheduled, true
 }
 
-// EndedMS returns when the job of a state row ended, Unix milliseconds by the clock of the leader; 0 if it hasn't.
-func EndedMS(r rowstore.Row) int64 {
-	var v stateValue
-	if err := json.Unmarshal(r.Value, &v); err != nil {
-		return 0
-	}
-	return v.EndedMS
-}
-
 // LeaderKey is the key of the leader row in the table of states; ids of jobs never look like it.
 const LeaderKey = "leader"
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -61,7 +61,6 @@
 	lastPlan  time.Duration
 	lastTick  time.Duration
 	suspended bool // the leader lacks authority and is silent
-	draining  bool
 }
 
 // Metrics receives measurements of a runner.
--- a/internal/dispatch/system_test.go
+++ b/internal/dispatch/system_test.go
@@ -188,9 +188,6 @@
 	return w != nil && w.holdDue
 }
 
-// newest returns the core of the newest leader.
-func (s *system) newest() *Core { return s.leaders[len(s.leaders)-1].core }
-
 // state returns the state of a job as stored.
 func (s *system) state(id string) batch.State {
 	rows, _, err := rowstore.ScanAll(context.Background(), s.store, TableStates, []string{Part})
@@ -231,6 +228,23 @@
 	}
 }
 
+// Guards against a table that grows for ever, and against states that vanish while callers may still ask for them.
+func TestStatesOfEndedJobsAreForgotten(t *testing.T) {
+	s := newSystem(t, 1, 1, 2)
+	s.submit(simpleJob("j", "batch", 2, 1, smallRoom))
+	s.run(10 * time.Second)
+	must.Eq(t, batch.Completed, s.state("j"))
+	s.fleet.now += 5 * time.Minute
+	s.leaders[0].sentAt = s.fleet.now
+	s.run(time.Second)
+	must.Eq(t, batch.Completed, s.state("j"))
+	s.fleet.now += 6 * time.Minute
+	s.leaders[0].sentAt = s.fleet.now
+	s.run(time.Second)
+	must.Eq(t, "", s.state("j"))
+	must.SliceContains(t, s.leaders[0].core.TakeForgotten(), "j")
+}
+
 // Guards against leases that are renewed in vain and so never end: a worker that is lost for good must not keep its tasks.
 func TestTasksOfALostWorkerStartElsewhere(t *testing.T) {
 	s := newSystem(t, 2, 1, 3)
--- a/internal/intake/inbox.go
+++ b/internal/intake/inbox.go
@@ -24,9 +24,6 @@
 // cancelSuffix ends the key of a cancel request.
 const cancelSuffix = "/cancel"
 
-// tombstone is the value of a submission whose job has ended. The row stays, so that a late repetition isn't a new job.
-const tombstone = "{}"
-
 // InboxParts returns the names of the parts.
 func InboxParts() []string {
 	out := make([]string, inboxParts)
@@ -54,8 +51,8 @@
 type Entry struct {
 	ID     string
 	Cancel bool
-	Ended  bool      // the job has ended and its steps are gone
-	Job    batch.Job // if neither
+	Ended  bool      // the job has ended; only its queue is left
+	Job    batch.Job // if not Cancel
 }
 
 // DecodeEntry reads a row of the inbox.
@@ -71,9 +68,14 @@
 	return e, nil
 }
 
-// EndJob is the transaction that replaces the steps of an ended job by a tombstone.
-func EndJob(id string) rowstore.Tx {
-	return rowstore.Tx{Puts: []rowstore.Row{{Key: jobKey(id), Value: []byte(tombstone)}}, Removes: []rowstore.Key{cancelKey(id)}}
+// EndJob is the transaction that replaces an ended job by a tombstone. The row stays, so that a late repetition of the submission isn't a
+// new job. The error says that the tombstone can't be encoded.
+func EndJob(id, queue string) (rowstore.Tx, error) {
+	value, err := json.Marshal(batch.Job{Queue: batch.Queue{Name: queue}})
+	if err != nil {
+		return rowstore.Tx{}, errors.WithStack(err)
+	}
+	return rowstore.Tx{Puts: []rowstore.Row{{Key: jobKey(id), Value: value}}, Removes: []rowstore.Key{cancelKey(id)}}, nil
 }
 
 // ForgetJob is the transaction that deletes what the inbox holds of a job.
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -186,15 +186,15 @@
 	if r.Applied {
 		return Reply{Code: OK, Reason: "stored"}
 	}
+	if len(r.Current) == 0 {
+		return Reply{Code: Uncertain, Reason: "condition_failed_without_row"}
+	}
 	// The row exists: an earlier try of this call, or an earlier request with this id, took effect.
-	for _, row := range r.Current {
-		e, err := DecodeEntry(row)
-		if err != nil {
-			return Reply{Code: Uncertain, Reason: err.Error()}
-		}
-		return repeated(e.Ended || e.Job.Queue.Name == j.Queue.Name, "already_stored")
+	e, err := DecodeEntry(r.Current[0])
+	if err != nil {
+		return Reply{Code: Uncertain, Reason: err.Error()}
 	}
-	return Reply{Code: Uncertain, Reason: "condition_failed_without_row"}
+	return repeated(e.Job.Queue.Name == j.Queue.Name, "already_stored")
 }
 
 func storeFailed(err error) Reply {
@@ -257,7 +257,7 @@
 		if err != nil {
 			return known{}, Reply{Code: NotNow, Reason: err.Error(), RetryAfter: storeRetryAfter}
 		}
-		if e.Ended || e.Job.Queue.Name == t.queue.Name {
+		if e.Job.Queue.Name == t.queue.Name {
 			return known{queue: t.queue.Name, state: batch.Pending}, Reply{Code: OK, Reason: "from_inbox"}
 		}
 	}
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,238 @@
+package intake
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"samphirewell/internal/batch"
+	"samphirewell/internal/rowstore"
+	"samphirewell/internal/rowstore/memstore"
+)
+
+const testID = "5c0e7a21d94b36f8"
+
+func quietLog() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
+func testPolicy(version int64) *batch.Policy {
+	p := &batch.Policy{Version: version, Queues: []batch.Queue{
+		{Name: "q", Host: "a.example", Prefix: "/q/", Service: "svc", Attempts: 3},
+		{Name: "deep", Host: "a.example", Prefix: "/q/deep/", Service: "svc", Attempts: 3},
+		{Name: "open", Host: "a.example", Prefix: "/open/", Service: "svc", Attempts: 3, Public: true}},
+		Teams: []batch.Team{{Name: "red", Keys: []string{"key"}}}}
+	return p.Index()
+}
+
+func newIntake(s rowstore.Store) *Intake {
+	in := New(s, func() time.Duration { return 0 }, quietLog())
+	in.SetPolicy(testPolicy(1))
+	return in
+}
+
+func call(path string) Call {
+	return Call{Host: "a.example", Path: path, Key: "key", Deadline: time.Now().Add(2 * time.Second)}
+}
+
+func oneTask() (batch.Job, error) {
+	return batch.Job{Payload: "p", Steps: []batch.Step{{Tasks: 1}}}, nil
+}
+
+func submit(in *Intake, c Call) Reply { return in.Submit(context.Background(), c, oneTask) }
+
+// Guards against accepting or refusing by the wrong queue or key.
+func TestCallsAreCheckedAgainstTheConfiguration(t *testing.T) {
+	in := newIntake(memstore.New())
+	wrongKey, noKey, wrongHost := call("/q/"+testID), call("/open/"+testID), call("/q/"+testID)
+	wrongKey.Key, noKey.Key, wrongHost.Host = "other", "", "b.example"
+	must.Eq(t, UnknownKey, submit(in, wrongKey).Code)
+	must.Eq(t, NoQueue, submit(in, wrongHost).Code)
+	must.Eq(t, NoQueue, submit(in, call("/none/"+testID)).Code)
+	must.Eq(t, OK, submit(in, noKey).Code, must.Sprint("a public queue needs no key"))
+	must.Eq(t, OK, submit(in, call("/q/"+testID[:15]+"9")).Code)
+	must.Eq(t, "deep", mustResolve(t, in, call("/q/deep/"+testID)).queue.Name, must.Sprint("the longest prefix wins"))
+	empty := New(memstore.New(), func() time.Duration { return 0 }, quietLog())
+	must.Eq(t, NotNow, submit(empty, call("/q/"+testID)).Code, must.Sprint("no configuration yet"))
+}
+
+func mustResolve(t *testing.T, in *Intake, c Call) target {
+	got, refused := in.resolve(c)
+	must.Nil(t, refused)
+	return got
+}
+
+// Guards against a configuration that goes back, and against serving by one that can't be confirmed any more: a key may have been taken away.
+func TestConfigurationNeverGoesBackAndExpires(t *testing.T) {
+	age := time.Duration(0)
+	in := New(memstore.New(), func() time.Duration { return age }, quietLog())
+	in.SetPolicy(testPolicy(5))
+	in.SetPolicy(testPolicy(4))
+	must.Eq(t, int64(5), in.Policy().Version)
+	age = maxPolicyAge + time.Second
+	r := submit(in, call("/q/"+testID))
+	must.Eq(t, NotNow, r.Code)
+	must.Positive(t, r.RetryAfter)
+}
+
+// Guards against a second job, or a refusal that isn't true, when the answer of the table is lost or comes late.
+func TestSubmissionWithAFaultOfTheTable(t *testing.T) {
+	cases := []struct {
+		name   string
+		fault  memstore.Fault
+		always bool
+		want   Code
+		stored bool
+	}{
+		{"refused", memstore.Refuse, true, NotNow, false},
+		{"answer lost", memstore.LoseAfter, false, OK, true},
+		{"call lost", memstore.LoseBefore, false, OK, true},
+		{"carried out late", memstore.Delay, false, OK, true},
+		{"silent", memstore.LoseBefore, true, Uncertain, false},
+		{"answers always lost", memstore.LoseAfter, true, Uncertain, true},
+	}
+	for _, c := range cases {
+		s := memstore.New()
+		in := newIntake(s)
+		n := 0
+		s.SetFault(func(kind string) memstore.Fault {
+			n++
+			if kind == "commit" && (c.always || n == 1) {
+				return c.fault
+			}
+			return memstore.None
+		})
+		request := call("/q/" + testID)
+		request.Deadline = time.Now().Add(400 * time.Millisecond)
+		must.Eq(t, c.want, submit(in, request).Code, must.Sprint(c.name))
+		s.SetFault(nil)
+		s.ApplyDelayed()
+		rows, _, err := rowstore.ScanAll(context.Background(), s, TableInbox, InboxParts())
+		must.NoError(t, err)
+		must.Eq(t, c.stored, len(rows) == 1, must.Sprint(c.name))
+	}
+}
+
+// Guards against a refusal as not run after an earlier try of the same call may have taken effect.
+func TestRefusalAfterAnUnknownTryIsNotFinal(t *testing.T) {
+	s := memstore.New()
+	in := newIntake(s)
+	n := 0
+	s.SetFault(func(string) memstore.Fault {
+		n++
+		if n == 1 {
+			return memstore.Delay
+		}
+		return memstore.Refuse
+	})
+	request := call("/q/" + testID)
+	request.Deadline = time.Now().Add(400 * time.Millisecond)
+	must.Eq(t, Uncertain, submit(in, request).Code)
+}
+
+// Guards against a job that runs again because its submission is repeated after its end.
+func TestRepeatedSubmissionOfAnEndedJob(t *testing.T) {
+	s := memstore.New()
+	in := newIntake(s)
+	must.Eq(t, OK, submit(in, call("/q/"+testID)).Code)
+	tx, err := EndJob(testID, "q")
+	must.NoError(t, err)
+	_, err = s.Commit(context.Background(), tx)
+	must.NoError(t, err)
+	must.Eq(t, OK, submit(in, call("/q/"+testID)).Code)
+	rows, _, err := rowstore.ScanAll(context.Background(), s, TableInbox, InboxParts())
+	must.NoError(t, err)
+	must.Len(t, 1, rows)
+	e, err := DecodeEntry(rows[0])
+	must.NoError(t, err)
+	must.True(t, e.Ended)
+	must.Eq(t, Malformed, submit(in, call("/q/deep/"+testID)).Code, must.Sprint("the id belongs to another queue"))
+}
+
+func state(id, text string) rowstore.Row {
+	return rowstore.Row{Key: rowstore.Key{Table: "states", Key: id}, Value: []byte(text)}
+}
+
+// Guards against a state of another queue's job, an unknown job that is shown, and an accepted job that is denied before its state is known here.
+func TestStateOfJobs(t *testing.T) {
+	s := memstore.New()
+	in := newIntake(s)
+	get := func(path string) Reply { return in.State(context.Background(), call(path)) }
+	must.Eq(t, NoJob, get("/q/"+testID).Code)
+	must.Eq(t, OK, submit(in, call("/q/"+testID)).Code)
+	r := get("/q/" + testID)
+	must.Eq(t, OK, r.Code)
+	must.Eq(t, batch.Pending, r.State)
+	in.States().Reset([]rowstore.Row{state(testID, `{"q":"q","s":"completed"}`), state("leader", `{"host":"h"}`), state("x", "garbage")})
+	must.Eq(t, batch.Completed, get("/q/"+testID).State)
+	must.Eq(t, NoJob, get("/open/"+testID).Code)
+	s.SetFault(func(string) memstore.Fault { return memstore.Refuse })
+	must.Eq(t, NotNow, get("/q/0000000000000000").Code, must.Sprint("an unknown job can't be denied while the table is away"))
+	must.Eq(t, batch.Completed, get("/q/"+testID).State, must.Sprint("known states are shown during an outage"))
+}
+
+// Guards against a wrong number of waiting jobs after changes and deletions.
+func TestWaitingCountsPendingJobsOfTheQueue(t *testing.T) {
+	in := newIntake(memstore.New())
+	waiting := func() int { return in.State(context.Background(), call("/q/")).Waiting }
+	in.States().Reset([]rowstore.Row{state("a", `{"q":"q","s":"pending"}`), state("b", `{"q":"q","s":"pending"}`),
+		state("c", `{"q":"deep","s":"pending"}`), state("d", `{"q":"q","s":"pending","d":true}`)})
+	must.Eq(t, 2, waiting())
+	in.States().Changed([]rowstore.Row{state("a", `{"q":"q","s":"running"}`)})
+	must.Eq(t, 1, waiting())
+	gone := state("b", "")
+	gone.Deleted = true
+	in.States().Changed([]rowstore.Row{gone, gone})
+	must.Eq(t, 0, waiting())
+}
+
+// Guards against a cancel that is acknowledged without being stored, or denied although the job exists.
+func TestCancel(t *testing.T) {
+	s := memstore.New()
+	in := newIntake(s)
+	cancel := func() Reply { return in.Cancel(context.Background(), call("/q/"+testID)) }
+	must.Eq(t, NoJob, cancel().Code)
+	must.Eq(t, OK, submit(in, call("/q/"+testID)).Code)
+	must.Eq(t, OK, cancel().Code)
+	rows, _, err := rowstore.ScanAll(context.Background(), s, TableInbox, InboxParts())
+	must.NoError(t, err)
+	cancels := 0
+	for _, r := range rows {
+		e, err := DecodeEntry(r)
+		must.NoError(t, err)
+		if e.Cancel {
+			must.Eq(t, testID, e.ID)
+			cancels++
+		}
+	}
+	must.Eq(t, 1, cancels)
+	s.SetFault(func(kind string) memstore.Fault {
+		if kind == "commit" {
+			return memstore.Refuse
+		}
+		return memstore.None
+	})
+	must.Eq(t, NotNow, cancel().Code)
+}
+
+// Guards against malformed submissions that are stored.
+func TestMalformedSubmissions(t *testing.T) {
+	in := newIntake(memstore.New())
+	bad := map[string]func() (batch.Job, error){
+		"no steps":        func() (batch.Job, error) { return batch.Job{}, nil },
+		"no tasks":        func() (batch.Job, error) { return batch.Job{Steps: []batch.Step{{}}}, nil },
+		"later step":      func() (batch.Job, error) { return batch.Job{Steps: []batch.Step{{Tasks: 1, After: []int{0}}}}, nil },
+		"unreadable body": func() (batch.Job, error) { return batch.Job{}, errors.New("unexpected end") },
+	}
+	for name, decode := range bad {
+		must.Eq(t, Malformed, in.Submit(context.Background(), call("/q/"+testID), decode).Code, must.Sprint(name))
+	}
+	must.Eq(t, Malformed, submit(in, call("/q/a/b")).Code)
+}
