Let the leader tell states that may still change; explain a job from log files

Change: hosts ask the leader for states that aren't final; an end that isn't stored after 0.3 s is told, since the workers keep the proof. Log lines are numbered per process; samphirectl explain logs orders the lines of several hosts; units that wait say what there was for them.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -44,6 +44,24 @@
 	Incarnation int `json:"incarnation"`
 }
 
+// State of a job as the leader knows it.
+type JobStateAnswer struct {
+	// The host leads and knows the job.
+	Known bool `json:"known"`
+
+	// Queue of the job.
+	Queue string `json:"queue"`
+
+	// State of the job.
+	State string `json:"state"`
+}
+
+// Asks the leader for the state of a job.
+type JobStateQuery struct {
+	// Id of the job.
+	Job string `json:"job"`
+}
+
 // Tells a member of the view that first attempts of a key are blocked.
 type KeyBlockRequest struct {
 	// Hash of team and key, hexadecimal.
--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -18,8 +18,9 @@
 )
 
 const (
-	// statesInterval is the shortest time between two reads of the states of jobs. Callers see a state at most this much later.
-	statesInterval = 120 * time.Millisecond
+	// statesInterval is the shortest time between two reads of the states of jobs. States that may still change are asked for at the leader, so
+	// this bounds only how late the loss of a leader is seen.
+	statesInterval = 250 * time.Millisecond
 	// inboxInterval is the shortest time between two reads of the inbox by the leader; it delays starts by half of it on average.
 	inboxInterval = 30 * time.Millisecond
 	// claimEvery is the period in which a host looks whether it should lead.
@@ -87,7 +88,7 @@
 // New returns a host that doesn't run yet.
 func New(o Options) *Host {
 	h := &Host{options: o, watch: lead.NewWatch(leaderKey, o.HostID, o.Processors)}
-	h.intake = intake.New(o.Store, o.Sources.PolicyAge, o.Log)
+	h.intake = intake.New(o.Store, o.Sources.PolicyAge, h, o.Log)
 	h.states = rowstore.NewFollower(o.Store, dispatch.TableStates, []string{dispatch.Part}, stateRows{h}, statesInterval, o.Log)
 	return h
 }
--- a/internal/batchhost/leader.go
+++ b/internal/batchhost/leader.go
@@ -7,6 +7,8 @@
 	"github.com/sirupsen/logrus"
 
 	"samphirewell/internal/api"
+	"samphirewell/internal/batch"
+	"samphirewell/internal/dispatch"
 	"samphirewell/internal/lead"
 	"samphirewell/internal/peer"
 )
@@ -14,6 +16,8 @@
 const (
 	// askTimeout bounds the question to the leader whether it lives; many round trips between regions.
 	askTimeout = 250 * time.Millisecond
+	// stateTimeout bounds the question for a state; the copy answers without it.
+	stateTimeout = 200 * time.Millisecond
 	// refusedLimit is the age of the last write at which a leader that the store refuses counts as lost, if the asking host is served.
 	refusedLimit = 600 * time.Millisecond
 )
@@ -23,6 +27,39 @@
 	methods[peer.MethodLeader] = peer.Handle(func(_ context.Context, _ api.HostIdentity, _ api.LeaderQuery) (api.LeaderStatus, error) {
 		return h.leaderStatus(), nil
 	})
+	methods[peer.MethodJobState] = peer.Handle(func(_ context.Context, _ api.HostIdentity, q api.JobStateQuery) (api.JobStateAnswer, error) {
+		return h.jobState(q.Job), nil
+	})
+}
+
+// jobState returns the state of a job as this host knows it as the leader.
+func (h *Host) jobState(id string) api.JobStateAnswer {
+	h.mu.Lock()
+	r := h.runner
+	h.mu.Unlock()
+	if r == nil {
+		return api.JobStateAnswer{}
+	}
+	var a api.JobStateAnswer
+	r.Look(func(c *dispatch.Core, now time.Duration) {
+		queue, state, ok := c.JobState(id, now)
+		a = api.JobStateAnswer{Known: ok, Queue: queue, State: string(state)}
+	})
+	return a
+}
+
+// AskState implements intake.Leader: it asks the leader for the state of a job. No answer is no error, since the copy of the stored states is there.
+func (h *Host) AskState(ctx context.Context, id string) (queue string, s batch.State, ok bool) {
+	a := h.jobState(id)
+	if row, led := h.watch.Leader(); !a.Known && led && row.Host != h.options.HostID {
+		ctx, cancel := context.WithTimeout(ctx, stateTimeout)
+		defer cancel()
+		if err := h.options.Peers.Call(ctx, row.Address, peer.MethodJobState, api.JobStateQuery{Job: id}, &a); err != nil {
+			h.options.Log.WithFields(logrus.Fields{"job": id, "leader": row.Host, "epoch": row.Epoch}).WithError(err).Debug("leader didn't tell a state")
+			return "", "", false
+		}
+	}
+	return a.Queue, batch.State(a.State), a.Known
 }
 
 func (h *Host) leaderStatus() api.LeaderStatus {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -24,6 +24,8 @@
 	authorityAfterCommit = 4 * time.Second
 	// clockRate is the slowest rate of a worker's clock relative to ours.
 	clockRate = 0.98
+	// tellUnstored is the time after which an end is told although it isn't stored: several transactions of a healthy table.
+	tellUnstored = 300 * time.Millisecond
 	// keepEnded is how long the state of an ended job is kept: longer than callers may ask for it (120 s) and than a
 	// repeated submission may be on its way. It is measured on the steady clock, and begins anew with each leader.
 	keepEnded = 10 * time.Minute
@@ -101,6 +103,19 @@
 	return out
 }
 
+// JobState returns the state of a job that hasn't been retired. An end that isn't stored yet is told only when storing it takes long:
+// the workers that ran the tasks keep the proof until then.
+func (c *Core) JobState(id string, now time.Duration) (queue string, s batch.State, ok bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return "", "", false
+	}
+	if j.state.Final() && now-j.endedAt < tellUnstored {
+		return j.Queue.Name, batch.Running, true
+	}
+	return j.Queue.Name, j.state, true
+}
+
 // TakeForgotten returns the ids of jobs whose state is no longer kept.
 func (c *Core) TakeForgotten() []string {
 	out := c.forget
@@ -205,7 +220,7 @@
 }
 
 func (c *Core) logJob(j *job) *logrus.Entry {
-	return c.log.WithFields(logrus.Fields{"job": j.ID, "queue": j.Queue.Name, "team": j.Team, "state": string(j.state)})
+	return c.log.WithFields(logrus.Fields{"epoch": c.epoch, "job": j.ID, "queue": j.Queue.Name, "team": j.Team, "state": string(j.state), "priority": j.Queue.Priority})
 }
 
 // openSteps makes tasks of the steps whose predecessors are done and whose time has come.
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -56,6 +56,7 @@
 	failed     []int // runs that failed
 	avoid      map[string]bool
 	readySince time.Duration
+	toldAt     time.Duration // when the log last said that it waits
 	finished   bool
 }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -17,6 +17,8 @@
 	spreadAfter = 1200 * time.Millisecond
 	// drainReserve is the time before the end of a draining worker at which its last runs are stopped.
 	drainReserve = 300 * time.Millisecond
+	// tellEvery is the pause between two log lines about a unit that waits; it bounds the volume while many wait.
+	tellEvery = 2 * time.Second
 	// replanEvery is the period of plans while tasks wait, since waits and quarantines end with time.
 	replanEvery = 250 * time.Millisecond
 )
@@ -201,6 +203,28 @@
 	for _, p := range d.Placements {
 		c.placeAll(in, p, now)
 	}
+	c.tellWaiting(in, now)
+}
+
+// tellWaiting logs which units go on waiting and what there was for them, at most once in tellEvery each.
+func (c *Core) tellWaiting(in *planInput, now time.Duration) {
+	free, usable := 0, 0
+	for _, w := range in.Workers {
+		if w.Usable {
+			usable++
+			free += max(0, w.Free.Accelerators)
+		}
+	}
+	for i, r := range in.Requests {
+		u := in.units[i][0]
+		if !u.ready() || r.Waited < tellEvery || now-u.toldAt < tellEvery {
+			continue
+		}
+		u.toldAt = now
+		c.logTask(u.tasks[0]).WithFields(logrus.Fields{"waited_ms": r.Waited.Milliseconds(), "tasks": r.Count, "gang": r.Gang, "same_rack": r.Step.SameRack,
+			"accelerators_each": r.Step.Need.Accelerators, "within_guarantee": r.Within, "usable_workers": usable, "free_accelerators": free,
+			"kept_cores": int(in.Keep), "ahead": i}).Info("still waiting for room")
+	}
 }
 
 // usableRoom returns the room of the workers that may get new work, in core equivalents.
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -84,6 +84,13 @@
 	r.wake()
 }
 
+// Look reads the core.
+func (r *Runner) Look(f func(c *Core, now time.Duration)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(r.core, r.clock.SinceBoot())
+}
+
 // WriteAge returns the time since the sending of the newest successful write, and whether the store refuses the present one.
 func (r *Runner) WriteAge() (age time.Duration, refused bool) {
 	r.mu.Lock()
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"path"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -60,6 +61,7 @@
 	policy    atomic.Pointer[batch.Policy]
 	policyAge func() time.Duration
 	states    *states
+	leader    Leader
 	log       logrus.FieldLogger
 	now       func() time.Time
 }
@@ -68,9 +70,15 @@
 // under the time in which a change has to be in force on a host that has lost the table (7 s).
 const maxPolicyAge = 4 * time.Second
 
+// Leader knows the newest states of jobs.
+type Leader interface {
+	// AskState returns the queue and the state of a job; false if the leader doesn't answer or doesn't know the job.
+	AskState(ctx context.Context, id string) (queue string, s batch.State, ok bool)
+}
+
 // New returns an intake without a configuration. policyAge returns for how long the configuration has not been confirmed.
-func New(s rowstore.Store, policyAge func() time.Duration, log logrus.FieldLogger) *Intake {
-	return &Intake{store: s, policyAge: policyAge, states: newStates(), log: log, now: time.Now}
+func New(s rowstore.Store, policyAge func() time.Duration, l Leader, log logrus.FieldLogger) *Intake {
+	return &Intake{store: s, policyAge: policyAge, leader: l, states: newStates(), log: log, now: time.Now}
 }
 
 // States returns the handler that keeps the copy of the table of states.
@@ -103,18 +111,21 @@
 // resolve finds the queue and the team of a call.
 func (in *Intake) resolve(c Call) (target, *Reply) {
 	p := in.policy.Load()
+	// Without a queue the last part of the path is most likely the id; it is only logged.
+	t := target{policy: p, id: path.Base(c.Path)}
 	if p == nil || in.policyAge() > maxPolicyAge {
-		return target{}, &Reply{Code: NotNow, Reason: "no_current_configuration", RetryAfter: storeRetryAfter}
+		return t, &Reply{Code: NotNow, Reason: "no_current_configuration", RetryAfter: storeRetryAfter}
 	}
 	q, ok := p.Route(c.Host, c.Path)
 	if !ok {
-		return target{}, &Reply{Code: NoQueue, Reason: "no_queue"}
+		return t, &Reply{Code: NoQueue, Reason: "no_queue"}
 	}
-	team, ok := p.TeamOf(c.Key)
+	t.queue, t.id = q, strings.TrimPrefix(c.Path, q.Prefix)
+	t.team, ok = p.TeamOf(c.Key)
 	if !ok && !q.Public {
-		return target{}, &Reply{Code: UnknownKey, Reason: "unknown_key"}
+		return t, &Reply{Code: UnknownKey, Reason: "unknown_key"}
 	}
-	return target{p, q, team, strings.TrimPrefix(c.Path, q.Prefix)}, nil
+	return t, nil
 }
 
 // finish logs and returns an answer. The key of the caller is never logged.
@@ -233,9 +244,21 @@
 	return in.store.Commit(ctx, tx)
 }
 
+// newest returns the newest state that is known: a final one from the copy, else that of the leader, else the copy.
+func (in *Intake) newest(ctx context.Context, id string) (known, bool) {
+	k, ok := in.states.get(id)
+	if ok && k.state.Final() || !validID(id) {
+		return k, ok
+	}
+	if queue, state, told := in.leader.AskState(ctx, id); told {
+		return known{queue: queue, state: state}, true
+	}
+	return k, ok
+}
+
 // lookup returns what is known of a job, from the copy or from the inbox.
 func (in *Intake) lookup(ctx context.Context, c Call, t target) (known, Reply) {
-	if k, ok := in.states.get(t.id); ok {
+	if k, ok := in.newest(ctx, t.id); ok {
 		if k.queue != t.queue.Name {
 			return known{}, Reply{Code: NoJob, Reason: "other_queue"}
 		}
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -32,8 +32,16 @@
 	return p.Index()
 }
 
+// silentLeader knows nothing.
+type silentLeader struct{}
+
+// AskState implements Leader.
+func (silentLeader) AskState(context.Context, string) (string, batch.State, bool) {
+	return "", "", false
+}
+
 func newIntake(s rowstore.Store) *Intake {
-	in := New(s, func() time.Duration { return 0 }, quietLog())
+	in := New(s, func() time.Duration { return 0 }, silentLeader{}, quietLog())
 	in.SetPolicy(testPolicy(1))
 	return in
 }
@@ -59,7 +67,7 @@
 	must.Eq(t, OK, submit(in, noKey).Code, must.Sprint("a public queue needs no key"))
 	must.Eq(t, OK, submit(in, call("/q/"+testID[:15]+"9")).Code)
 	must.Eq(t, "deep", mustResolve(t, in, call("/q/deep/"+testID)).queue.Name, must.Sprint("the longest prefix wins"))
-	empty := New(memstore.New(), func() time.Duration { return 0 }, quietLog())
+	empty := New(memstore.New(), func() time.Duration { return 0 }, silentLeader{}, quietLog())
 	must.Eq(t, NotNow, submit(empty, call("/q/"+testID)).Code, must.Sprint("no configuration yet"))
 }
 
@@ -72,7 +80,7 @@
 // Guards against a configuration that goes back, and against serving by one that can't be confirmed any more: a key may have been taken away.
 func TestConfigurationNeverGoesBackAndExpires(t *testing.T) {
 	age := time.Duration(0)
-	in := New(memstore.New(), func() time.Duration { return age }, quietLog())
+	in := New(memstore.New(), func() time.Duration { return age }, silentLeader{}, quietLog())
 	in.SetPolicy(testPolicy(5))
 	in.SetPolicy(testPolicy(4))
 	must.Eq(t, int64(5), in.Policy().Version)
@@ -178,6 +186,25 @@
 	must.Eq(t, batch.Completed, get("/q/"+testID).State, must.Sprint("known states are shown during an outage"))
 }
 
+// tellingLeader knows one job.
+type tellingLeader struct{ state batch.State }
+
+// AskState implements Leader.
+func (l tellingLeader) AskState(_ context.Context, id string) (string, batch.State, bool) {
+	return "q", l.state, id == testID
+}
+
+// Guards against a completion that callers see only when the table is back, and against a stored end that the leader's older knowledge hides.
+func TestLeaderTellsNewerStates(t *testing.T) {
+	in := newIntake(memstore.New())
+	in.leader = tellingLeader{batch.Completed}
+	in.States().Reset([]rowstore.Row{state(testID, `{"q":"q","s":"running"}`)})
+	must.Eq(t, batch.Completed, in.State(context.Background(), call("/q/"+testID)).State)
+	in.leader = tellingLeader{batch.Running}
+	in.States().Reset([]rowstore.Row{state(testID, `{"q":"q","s":"failed"}`)})
+	must.Eq(t, batch.Failed, in.State(context.Background(), call("/q/"+testID)).State)
+}
+
 // Guards against a wrong number of waiting jobs after changes and deletions.
 func TestWaitingCountsPendingJobsOfTheQueue(t *testing.T) {
 	in := newIntake(memstore.New())
--- /dev/null
+++ b/internal/logread/logread_test.go
@@ -0,0 +1,34 @@
+package logread
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+const logs = `
+  3.1 edge-1 {"time":"2026-01-01T10:00:09.000Z","host":"a","process":"p1","n":7,"msg":"request accepted","action":"submit","job":"j1"}
+{"time":"2026-01-01T10:00:01.000Z","host":"b","process":"p2","n":3,"msg":"job queued","epoch":1,"job":"j1"}
+{"time":"2026-01-01T09:59:01.000Z","host":"b","process":"p2","n":9,"msg":"starting run","epoch":1,"job":"j1","run":1}
+{"time":"2026-01-01T09:58:00.000Z","host":"c","process":"p3","n":2,"msg":"run over","epoch":2,"job":"j1","outcome":"done"}
+{"time":"2026-01-01T09:58:00.000Z","host":"c","process":"p3","n":2,"msg":"run over","epoch":2,"job":"j2"}
+{"broken j1
+`
+
+// Guards against an order by the clocks of hosts, which jump: acceptance, the leaders one after the other, and each process in its own order.
+func TestOrderFollowsCauseAndEffect(t *testing.T) {
+	lines, skipped, err := Read(strings.NewReader(logs), "j1", nil)
+	must.NoError(t, err)
+	must.Eq(t, 1, skipped)
+	for i, j := 0, len(lines)-1; i < j; i, j = i+1, j-1 {
+		lines[i], lines[j] = lines[j], lines[i]
+	}
+	Order(lines)
+	var got []string
+	for _, l := range lines {
+		got = append(got, l.Message)
+	}
+	must.Eq(t, []string{"request accepted", "job queued", "starting run", "run over"}, got)
+	must.StrContains(t, Text(lines), "epoch 2 run over outcome=done")
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -40,6 +40,7 @@
 	MethodKeyBlock     = "key.block"  // blocks first attempts of a key at a member of the view
 	MethodKeyBlocks    = "key.blocks" // the blocked keys that a member knows
 	MethodLeader       = "leader"     // whether a host leads
+	MethodJobState     = "job.state"  // the state of a job as the leader knows it
 	MethodRelay        = "relay"      // a call to the table service on behalf of a host that can't make it
 )
 
--- a/internal/tools/explain.go
+++ b/internal/tools/explain.go
@@ -16,6 +16,7 @@
 type explainCmd struct {
 	Job  explainJobCmd  `cmd:"" help:"Explain why a job waits, where it ran, or why it was preempted or refused."`
 	Call explainCallCmd `cmd:"" help:"Explain why a call ended without an answer."`
+	Logs explainLogsCmd `cmd:"" help:"Explain what happened to a job from the log files of hosts."`
 }
 
 type explainJobCmd struct {
