--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,181 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"samphirewell/internal/batch"
+)
+
+var (
+	whole = batch.Room{MilliCores: 64000, MemoryMB: 64000, Accelerators: 8}
+	eight = batch.Room{MilliCores: 8000, MemoryMB: 1000, Accelerators: 8}
+	one   = batch.Room{MilliCores: 1000, MemoryMB: 1000, Accelerators: 1}
+)
+
+func fleet(racks, perRack int) []Worker {
+	var out []Worker
+	for r := range racks {
+		for i := range perRack {
+			rack := fmt.Sprintf("r%d", r)
+			out = append(out, Worker{ID: fmt.Sprintf("w%d-%d", r, i), Rack: rack, Labels: []string{"a", rack}, Capacity: whole, Free: whole, Soon: whole, Usable: true})
+		}
+	}
+	return out
+}
+
+// occupy lets a run hold room on a worker.
+func occupy(in *Input, run Run, worker int, need batch.Room) {
+	in.Workers[worker].Free = in.Workers[worker].Free.Minus(need)
+	in.Workers[worker].Soon = in.Workers[worker].Soon.Minus(need)
+	run.Parts = append(run.Parts, Part{worker, need})
+	in.Runs = append(in.Runs, run)
+}
+
+func racksOf(in Input, workers []int) map[string]bool {
+	out := map[string]bool{}
+	for _, w := range workers {
+		out[in.Workers[w].Rack] = true
+	}
+	return out
+}
+
+// Guards against a gang that is torn over racks, or that starts in part.
+func TestGangStaysOnOneRackOrWaits(t *testing.T) {
+	in := Input{Workers: fleet(2, 4)}
+	occupy(&in, Run{Priority: 1}, 0, one)
+	occupy(&in, Run{Priority: 1}, 4, one)
+	r := Request{Step: &batch.Step{Need: eight, Gang: true, SameRack: true}, Count: 4, Gang: true, Priority: 1}
+	in.Requests = []Request{r}
+	must.SliceEmpty(t, Plan(in).Placements, must.Sprint("3 free workers on each rack"))
+	in = Input{Workers: fleet(2, 4)}
+	occupy(&in, Run{Priority: 1}, 0, one)
+	in.Requests = []Request{r}
+	d := Plan(in)
+	must.Len(t, 1, d.Placements)
+	must.MapLen(t, 1, racksOf(in, d.Placements[0].Workers))
+	in = Input{Workers: fleet(2, 4), Requests: []Request{{Step: r.Step, Count: 6, Gang: true, Priority: 1}}}
+	must.Len(t, 1, Plan(in).Placements, must.Sprint("a gang that fits no rack may leave it"))
+}
+
+// Guards against a claim that throws away more than it may, and against one that waits although it may.
+func TestClaimKeepsToItsBudget(t *testing.T) {
+	build := func(budget float64) Input {
+		in := Input{Workers: fleet(1, 1)}
+		occupy(&in, Run{ID: "long", Priority: 2, Loss: 500}, 0, eight)
+		in.Requests = []Request{{Step: &batch.Step{Need: eight}, Count: 1, Claim: true, Budget: budget}}
+		return in
+	}
+	must.SliceEmpty(t, Plan(build(100)).Stops)
+	must.Eq(t, []int{0}, Plan(build(math.Inf(1))).Stops)
+}
+
+// Guards against stopping what may not be stopped, and against the dearer of two victims.
+func TestCheapestAllowedVictimIsStopped(t *testing.T) {
+	in := Input{Workers: fleet(1, 4)}
+	occupy(&in, Run{ID: "urgent", Priority: 0, Protected: true}, 0, eight)
+	occupy(&in, Run{ID: "dear", Priority: 2, Loss: 400}, 1, eight)
+	occupy(&in, Run{ID: "cheap", Priority: 2, Loss: 10}, 2, eight)
+	occupy(&in, Run{ID: "fixed", Priority: 2, Fixed: true}, 3, eight)
+	in.Requests = []Request{{Step: &batch.Step{Need: eight}, Count: 1, Claim: true, Within: true, Budget: math.Inf(1)}}
+	must.Eq(t, []int{2}, Plan(in).Stops)
+}
+
+// Guards against stopping more and more runs while the first ones take their time to end.
+func TestComingRoomIsWaitedFor(t *testing.T) {
+	in := Input{Workers: fleet(1, 2)}
+	occupy(&in, Run{ID: "running", Priority: 2, Loss: 1}, 0, eight)
+	in.Workers[1].Free = in.Workers[1].Free.Minus(eight) // its run is being stopped
+	in.Requests = []Request{{Step: &batch.Step{Need: eight}, Count: 1, Claim: true, Budget: math.Inf(1)}, {Step: &batch.Step{Need: eight}, Count: 1, Priority: 1}}
+	d := Plan(in)
+	must.SliceEmpty(t, d.Stops)
+	must.SliceEmpty(t, d.Placements)
+}
+
+// Guards against other work that takes the room that is kept for urgent work.
+func TestKeptRoomIsForClaims(t *testing.T) {
+	in := Input{Workers: fleet(1, 1), Keep: 100}
+	in.Requests = []Request{{Step: &batch.Step{Need: one}, Count: 8, Priority: 1}, {Step: &batch.Step{Need: one}, Count: 8, Claim: true}}
+	d := Plan(in)
+	must.Eq(t, []Placement{{0, []int{0, 0, 0}}, {1, []int{0, 0, 0, 0, 0}}}, d.Placements)
+}
+
+// Guards against a large gang that is starved by a stream of small tasks.
+func TestWaitingGangGetsWorkersReserved(t *testing.T) {
+	in := Input{Workers: fleet(2, 2)}
+	for w := range in.Workers {
+		occupy(&in, Run{Priority: 1}, w, one)
+	}
+	in.Requests = []Request{{Step: &batch.Step{Need: eight, Gang: true, SameRack: true}, Count: 2, Gang: true, Priority: 1, Waited: 5 * time.Second},
+		{Step: &batch.Step{Need: one}, Count: 28, Priority: 2}}
+	d := Plan(in)
+	must.Len(t, 1, d.Placements)
+	must.MapLen(t, 1, racksOf(in, d.Placements[0].Workers), must.Sprint("one rack is left to run empty"))
+}
+
+// Guards against placements on workers that are unusable, lack a label, failed the unit before or hold too many tasks of the step.
+func TestUnsuitableWorkersAreLeftOut(t *testing.T) {
+	in := Input{Workers: fleet(1, 4)}
+	in.Workers[0].Usable = false
+	in.Workers[1].Labels = nil
+	in.Requests = []Request{{Step: &batch.Step{Need: one, Requires: "a", MaxPerWorker: 2}, Count: 8, Avoid: map[int]bool{2: true}, Used: map[int]int{3: 1}}}
+	must.Eq(t, []Placement{{0, []int{3}}}, Plan(in).Placements)
+}
+
+func drawRequest(t *rapid.T, i int) Request {
+	r := Request{ID: fmt.Sprint(i), Priority: rapid.IntRange(0, 2).Draw(t, "priority"), Count: rapid.IntRange(1, 6).Draw(t, "count"),
+		Gang: rapid.Bool().Draw(t, "gang"), Spread: rapid.Bool().Draw(t, "spread"), Waited: time.Duration(rapid.IntRange(0, 5).Draw(t, "waited")) * time.Second,
+		Within: rapid.Bool().Draw(t, "within"), Budget: float64(rapid.SampledFrom([]int{0, 100, 100000}).Draw(t, "budget"))}
+	r.Claim = r.Priority == 0
+	need := batch.Room{MilliCores: 1000 * rapid.IntRange(1, 40).Draw(t, "cores"), MemoryMB: 100, Accelerators: rapid.IntRange(0, 8).Draw(t, "accelerators")}
+	r.Step = &batch.Step{Need: need, Gang: r.Gang, SameRack: rapid.Bool().Draw(t, "same rack")}
+	if rapid.Bool().Draw(t, "limited") {
+		r.Step.MaxPerWorker, r.Used = 1, map[int]int{}
+	}
+	return r
+}
+
+// Guards against every placement that workers would refuse: too little room, gangs in part, too many tasks of a step; and against stopping runs that are
+// protected, as urgent, or fixed.
+func TestPlansAreAlwaysPossible(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := Input{Workers: fleet(rapid.IntRange(1, 3).Draw(t, "racks"), rapid.IntRange(1, 4).Draw(t, "per rack")), Keep: float64(rapid.IntRange(0, 100).Draw(t, "keep"))}
+		for i := range rapid.IntRange(0, 10).Draw(t, "runs") {
+			run := Run{ID: fmt.Sprint(i), Priority: rapid.IntRange(0, 2).Draw(t, "priority"), Protected: rapid.Bool().Draw(t, "protected"),
+				Fixed: rapid.Bool().Draw(t, "fixed"), Loss: float64(rapid.IntRange(0, 500).Draw(t, "loss")), Team: "x"}
+			w := rapid.IntRange(0, len(in.Workers)-1).Draw(t, "worker")
+			need := batch.Room{MilliCores: 1000, Accelerators: rapid.IntRange(0, 4).Draw(t, "held")}
+			if in.Workers[w].Free.Holds(need) {
+				occupy(&in, run, w, need)
+			}
+		}
+		for i := range rapid.IntRange(1, 8).Draw(t, "requests") {
+			in.Requests = append(in.Requests, drawRequest(t, i))
+		}
+		free := make([]batch.Room, len(in.Workers))
+		for i, w := range in.Workers {
+			free[i] = w.Free
+		}
+		d := Plan(in)
+		for _, p := range d.Placements {
+			r := in.Requests[p.Request]
+			must.True(t, !r.Gang || len(p.Workers) == r.Count, must.Sprint("gang in part"))
+			on := map[int]int{}
+			for _, w := range p.Workers {
+				free[w] = free[w].Minus(r.Step.Need)
+				on[w]++
+				must.True(t, free[w].MilliCores >= 0 && free[w].MemoryMB >= 0 && free[w].Accelerators >= 0, must.Sprintf("worker %d is over its room", w))
+				must.True(t, r.Step.MaxPerWorker == 0 || on[w] <= r.Step.MaxPerWorker, must.Sprint("too many tasks of the step"))
+			}
+		}
+		for _, i := range d.Stops {
+			must.False(t, in.Runs[i].Fixed)
+			must.True(t, in.Runs[i].Priority > 0 || !in.Runs[i].Protected)
+		}
+	})
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,124 @@
+package relay
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+
+	"samphirewell/internal/api"
+	"samphirewell/internal/peer"
+	"samphirewell/internal/rowstore"
+	"samphirewell/internal/rowstore/memstore"
+)
+
+// otherHost carries out calls with its own store, or fails.
+type otherHost struct {
+	store rowstore.Store
+	err   error
+	calls []string
+}
+
+// Call implements Caller.
+func (o *otherHost) Call(ctx context.Context, address, _ string, params, result any) error {
+	o.calls = append(o.calls, address)
+	if o.err != nil {
+		return o.err
+	}
+	*result.(*api.RelayResult) = serve(ctx, o.store, params.(api.RelayCall))
+	return nil
+}
+
+var key = rowstore.Key{Table: "t", Part: "p", Key: "k"}
+
+func put(value string, version uint64) rowstore.Tx {
+	return rowstore.Tx{Conditions: []rowstore.Condition{{Key: key, Version: version}}, Puts: []rowstore.Row{{Key: key, Value: []byte(value)}}}
+}
+
+// refusedHere returns a store that refuses this host, and the way through another one.
+func refusedHere() (*Store, *otherHost, *memstore.Store) {
+	shared, here := memstore.New(), memstore.New()
+	here.SetFault(func(string) memstore.Fault { return memstore.Refuse })
+	other := &otherHost{store: shared}
+	return New(here, other, func() []string { return []string{"a", "b"} }), other, shared
+}
+
+// Guards against calls that change on their way through another host.
+func TestRelayedCallsAreTheSame(t *testing.T) {
+	s, _, shared := refusedHere()
+	ctx := context.Background()
+	r, err := s.Commit(ctx, put("\x00binary\xff", 0))
+	must.NoError(t, err)
+	must.Eq(t, rowstore.TxResult{Applied: true, Version: 1}, r)
+	r, err = s.Commit(ctx, put("second", 0))
+	must.NoError(t, err)
+	want := rowstore.Row{Key: key, Value: []byte("\x00binary\xff"), Version: 1}
+	must.Eq(t, rowstore.TxResult{Current: []rowstore.Row{want}}, r)
+	scan, err := s.Scan(ctx, "t", "p", rowstore.Range{From: "k", To: "l"})
+	must.NoError(t, err)
+	must.Eq(t, []rowstore.Row{want}, scan.Rows)
+	changes, err := s.Changes(ctx, "t", 0, time.Millisecond)
+	must.NoError(t, err)
+	must.Eq(t, []rowstore.Row{want}, changes.Rows)
+	shared.ForgetHistory()
+	_, err = s.Changes(ctx, "t", 0, time.Millisecond)
+	must.ErrorIs(t, err, rowstore.ErrHistoryGone)
+	_, err = s.Commit(ctx, rowstore.Tx{Removes: []rowstore.Key{key}})
+	must.NoError(t, err)
+	scan, err = s.Scan(ctx, "t", "p", rowstore.Range{})
+	must.NoError(t, err)
+	must.SliceEmpty(t, scan.Rows)
+}
+
+// Guards against reporting a call as not done after another host may have made it.
+func TestUnknownRelayIsUncertain(t *testing.T) {
+	s, other, _ := refusedHere()
+	other.err = errors.Wrap(peer.ErrUncertain, "cut")
+	_, err := s.Commit(context.Background(), put("x", 0))
+	must.ErrorIs(t, err, rowstore.ErrUncertain)
+	s, other, _ = refusedHere()
+	other.err = errors.Wrap(peer.ErrNotSent, "refused")
+	_, err = s.Commit(context.Background(), put("x", 0))
+	must.ErrorIs(t, err, rowstore.ErrNotDone)
+}
+
+// Guards against asking other hosts again and again while the table is down for all of them.
+func TestRelayRestsWhenAllHostsFail(t *testing.T) {
+	s, other, _ := refusedHere()
+	now := time.Unix(100, 0)
+	s.now = func() time.Time { return now }
+	other.err = errors.Wrap(peer.ErrNotSent, "down")
+	for range 20 {
+		_, err := s.Commit(context.Background(), put("x", 0))
+		must.ErrorIs(t, err, rowstore.ErrNotDone)
+	}
+	must.Eq(t, []string{"a", "b"}, other.calls)
+	now = now.Add(relayRetry)
+	_, _ = s.Commit(context.Background(), put("x", 0))
+	must.Len(t, 3, other.calls)
+}
+
+// Guards against a host that goes on through others after the direct way works again.
+func TestDirectWayIsTriedAgain(t *testing.T) {
+	here, shared := memstore.New(), memstore.New()
+	refuse := true
+	here.SetFault(func(string) memstore.Fault {
+		if refuse {
+			return memstore.Refuse
+		}
+		return memstore.None
+	})
+	other := &otherHost{store: shared}
+	s := New(here, other, func() []string { return []string{"a"} })
+	now := time.Unix(100, 0)
+	s.now = func() time.Time { return now }
+	_, err := s.Commit(context.Background(), put("x", 0))
+	must.NoError(t, err)
+	refuse = false
+	now = now.Add(directRetry)
+	_, err = s.Commit(context.Background(), put("y", 0))
+	must.NoError(t, err)
+	must.Len(t, 1, other.calls)
+}
