Keep assignments on idle workers; ask a silent leader after 0.5 s

Change: only runs that were ordered lapse. Leaders are asked after 0.5 s instead of 0.7 s. Test: fails before.

--- a/internal/batchhost/leader.go
+++ b/internal/batchhost/leader.go
@@ -15,7 +15,7 @@
 
 const (
 	// askTimeout bounds the question to the leader whether it lives; many round trips between regions.
-	askTimeout = 250 * time.Millisecond
+	askTimeout = 150 * time.Millisecond
 	// stateTimeout bounds the question for a state; the copy answers without it.
 	stateTimeout = 200 * time.Millisecond
 	// refusedLimit is the age of the last write at which a leader that the store refuses counts as lost, if the asking host is served.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -46,8 +46,18 @@
 	return out
 }
 
+// mayRun reports whether a run may exist on the worker; one that is only assigned doesn't.
+func (w *worker) mayRun() bool {
+	for _, o := range w.occupants {
+		if o.task == nil || o.task.phase != assigned {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Core) tickWorker(w *worker, now time.Duration) {
-	if len(w.occupants) > 0 && w.lapsed(now) {
+	if w.mayRun() && w.lapsed(now) {
 		c.log.WithFields(logrus.Fields{"worker": w.ID, "runs": len(w.occupants), "silent_ms": (now - w.clockAt).Milliseconds()}).Warn("leases of a worker have ended")
 		c.loseRuns(w, outLapsed, now)
 	}
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -152,7 +152,7 @@
 	u.run++
 	for i, t := range u.tasks {
 		w := workers[i]
-		t.phase, t.worker, t.boot = assigned, w.ID, w.Boot
+		t.phase, t.worker, t.boot, t.startedAt = assigned, w.ID, w.Boot, now
 		t.percent, t.startPercent, t.confirmed, t.stopConfirmed = 0, 0, false, false
 		w.occupants[t.key()] = &occupant{task: t, need: u.spec().Need}
 		c.rows.mark(t.row())
--- a/internal/dispatch/system_test.go
+++ b/internal/dispatch/system_test.go
@@ -279,3 +279,23 @@
 	s.mustHold()
 	must.Eq(t, batch.Completed, s.state("apart"))
 }
+
+// Guards against a run that counts as lapsed before it was ordered, because the worker stood idle and its last lease has long ended while the
+// assignment is being stored.
+func TestIdleWorkersKeepNewAssignments(t *testing.T) {
+	s := newSystem(t, 4, 1, 3)
+	s.submit(simpleJob("first", "batch", 2, 3, batch.Room{Accelerators: 8}))
+	s.run(25 * time.Second)
+	must.Eq(t, batch.Completed, s.state("first"))
+	c := s.leaders[0].core
+	s.submit(simpleJob("second", "batch", 2, 3, batch.Room{Accelerators: 8}))
+	c.Plan(s.fleet.now)
+	cm := c.TakeCommit()
+	c.Tick(s.fleet.now+testStep, 0)
+	c.Stored(cm, s.fleet.now+testStep)
+	orders := c.TakeOrders()
+	must.Len(t, 3, orders)
+	for _, o := range orders {
+		must.Eq(t, 1, o.Run)
+	}
+}
--- a/internal/lead/watch.go
+++ b/internal/lead/watch.go
@@ -12,9 +12,8 @@
 const (
 	// RenewEvery is the longest time between two transactions of a leader.
 	RenewEvery = 250 * time.Millisecond
-	// suspectAfter is the time without a change of the leader row after which hosts ask the leader whether it lives: two renewals and
-	// the time of a read.
-	suspectAfter = 700 * time.Millisecond
+	// suspectAfter is the time without a change of the leader row after which hosts ask the leader whether it lives: two renewals.
+	suspectAfter = 500 * time.Millisecond
 	// askAgain is the pause between two questions to the leader.
 	askAgain = 300 * time.Millisecond
 	// staleAfter is the time without a change after which a leader that answers counts as lost too. A store that is slowed 60 times
