--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -42,8 +42,8 @@
 	log     logrus.FieldLogger
 	policy  *batch.Policy
 	jobs    map[string]*job
-	live    []*job                   // jobs that aren't final, in order of arrival
-	ended   map[string]time.Duration // when the end of the job was stored, or when this leader took over
+	live    []*job // jobs that aren't final, in order of arrival
+	ended   map[string]endedJob
 	workers map[string]*worker
 	seq     int
 
@@ -65,10 +65,17 @@
 
 // New returns the core of a new leader. now is the time at which its epoch was stored.
 func New(epoch uint64, policy *batch.Policy, bounds Bounds, log logrus.FieldLogger) *Core {
-	return &Core{epoch: epoch, bounds: bounds, log: log, policy: policy, jobs: map[string]*job{}, ended: map[string]time.Duration{},
+	return &Core{epoch: epoch, bounds: bounds, log: log, policy: policy, jobs: map[string]*job{}, ended: map[string]endedJob{},
 		workers: map[string]*worker{}, rows: rowQueue{marked: map[rowID]bool{}}, dirty: true, times: runTimes{}}
 }
 
+// endedJob is a job whose end is stored.
+type endedJob struct {
+	queue string
+	state batch.State
+	at    time.Duration // when the end was stored, or when this leader took over
+}
+
 // Epoch returns the leader's epoch.
 func (c *Core) Epoch() uint64 { return c.epoch }
 
@@ -103,9 +110,12 @@
 	return out
 }
 
-// JobState returns the state of a job that hasn't been retired. An end that isn't stored yet is told only when storing it takes long:
+// JobState returns the state of a job. An end that isn't stored yet is told only when storing it takes long:
 // the workers that ran the tasks keep the proof until then.
 func (c *Core) JobState(id string, now time.Duration) (queue string, s batch.State, ok bool) {
+	if e, over := c.ended[id]; over {
+		return e.queue, e.state, true
+	}
 	j := c.jobs[id]
 	if j == nil {
 		return "", "", false
@@ -129,8 +139,8 @@
 		return
 	}
 	c.forgotAt = now
-	for id, at := range c.ended {
-		if now-at < keepEnded {
+	for id, e := range c.ended {
+		if now-e.at < keepEnded {
 			continue
 		}
 		delete(c.ended, id)
@@ -199,7 +209,7 @@
 
 // retireJob forgets a job whose end is stored, and deletes its task rows.
 func (c *Core) retireJob(j *job) {
-	c.ended[j.ID] = c.now
+	c.ended[j.ID] = endedJob{j.Queue.Name, j.state, c.now}
 	delete(c.jobs, j.ID)
 	for i, l := range c.live {
 		if l == j {
--- a/internal/dispatch/restore.go
+++ b/internal/dispatch/restore.go
@@ -17,13 +17,13 @@
 	c.now = now
 	known := map[string]batch.State{}
 	for _, r := range states {
-		if _, s, _, ok := StateOf(r); ok {
-			known[r.Key.Key] = s
+		queue, s, _, ok := StateOf(r)
+		if !ok {
+			continue
 		}
-	}
-	for id, s := range known {
+		known[r.Key.Key] = s
 		if s.Final() {
-			c.ended[id] = now
+			c.ended[r.Key.Key] = endedJob{queue, s, now}
 		}
 	}
 	for _, j := range jobs {
