--- a/internal/dispatch/restore.go
+++ b/internal/dispatch/restore.go
@@ -38,6 +38,7 @@
 		} else {
 			c.rows.mark(stateRow(j.ID))
 		}
+		c.logJob(n).Info("job taken over")
 	}
 	for _, r := range tasks {
 		c.restoreChunk(r, now)
