Ask the adviser for workers; place long-running and filling tasks by their rules

Change: one question at a time names 30 workers, rack by rack; starts carry the ticket; long-running tasks don't wait for kept room, steps with a bound on missing tasks aren't stopped for others, serving and filling tasks don't share a worker.

--- /dev/null
+++ b/internal/dispatch/advice.go
@@ -0,0 +1,186 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"samphirewell/internal/batch"
+)
+
+const (
+	// adviceWorkers is the number of workers that one question names; each takes the adviser time.
+	adviceWorkers = 30
+	// adviceRetry is the pause after a question without an answer.
+	adviceRetry = 300 * time.Millisecond
+	// ticketMargin is the rest of a ticket's validity at which it is no longer used, for the time that a start takes.
+	ticketMargin = 500 * time.Millisecond
+)
+
+// Question asks the adviser which of the workers may run a step.
+type Question struct {
+	Step    string // JOB.OCCURRENCE.STEP
+	Workers []string
+	step    *stepState
+	boots   map[string]int64
+}
+
+// Advice is the answer: tickets by worker, and how long they are valid.
+type Advice struct {
+	Tickets map[string]string
+	Valid   time.Duration
+}
+
+// ticket allows starts of a step on one life of a worker.
+type ticket struct {
+	text  string
+	boot  int64
+	until time.Duration
+}
+
+// advised is what is known of the workers that may run a step. Whether a worker may doesn't change, but tickets expire.
+type advised struct {
+	tickets map[string]ticket
+	barred  map[string]bool
+}
+
+// isAdvised reports whether the workers of a job need a ticket.
+func (c *Core) isAdvised(j *job) bool {
+	if q, ok := c.policy.Queue(j.Queue.Name); ok {
+		return q.Advised
+	}
+	return j.Queue.Advised
+}
+
+// allowedOn returns the workers of a plan for which a valid ticket is known; nil if none is needed.
+func (c *Core) allowedOn(in *planInput, u *unit, now time.Duration) map[int]bool {
+	if !c.isAdvised(u.job) {
+		return nil
+	}
+	out := map[int]bool{}
+	s := u.job.steps[u.occurrence][u.step]
+	if s.advice == nil {
+		return out
+	}
+	for i, w := range in.workers {
+		if _, ok := s.advice.valid(w, now); ok {
+			out[i] = true
+		}
+	}
+	return out
+}
+
+func (a *advised) valid(w *worker, now time.Duration) (string, bool) {
+	t, ok := a.tickets[w.ID]
+	return t.text, ok && t.boot == w.Boot && now+ticketMargin < t.until
+}
+
+// ticketFor returns the ticket that a start of the task needs, or an empty string.
+func (t *task) ticketFor(w *worker, now time.Duration) string {
+	s := t.unit.job.steps[t.unit.occurrence][t.unit.step]
+	if s.advice == nil {
+		return ""
+	}
+	text, _ := s.advice.valid(w, now)
+	return text
+}
+
+// NextQuestion returns a question for the waiting step that is served next; false if there is none or one is under way.
+func (c *Core) NextQuestion(now time.Duration) (Question, bool) {
+	if c.asking || now < c.askAfter || c.freeze {
+		return Question{}, false
+	}
+	for _, j := range c.byPriority() {
+		if j.ending() || !c.isAdvised(j) {
+			continue
+		}
+		for k, steps := range j.steps {
+			for i, s := range steps {
+				if q, ok := c.question(j, k, i, s, now); ok {
+					c.asking = true
+					return q, true
+				}
+			}
+		}
+	}
+	return Question{}, false
+}
+
+func (c *Core) byPriority() []*job {
+	out := slices.Clone(c.live)
+	slices.SortStableFunc(out, func(a, b *job) int { return cmp.Compare(a.Queue.Priority, b.Queue.Priority) })
+	return out
+}
+
+// question names the workers with the most room whose answer isn't known, rack by rack; none if enough of the known ones have room.
+func (c *Core) question(j *job, k, i int, s *stepState, now time.Duration) (Question, bool) {
+	waiting := 0
+	for _, u := range s.units {
+		if u.ready() {
+			waiting += len(u.tasks)
+		}
+	}
+	if !s.opened || waiting == 0 {
+		return Question{}, false
+	}
+	if s.advice == nil {
+		s.advice = &advised{tickets: map[string]ticket{}, barred: map[string]bool{}}
+	}
+	spec := &j.Steps[i]
+	rackRoom := map[string]int{}
+	var candidates []*worker
+	for _, w := range c.sortedWorkers() {
+		if w.Service != c.serviceOf(j) || !c.usable(w, now) || !w.HasLabel(spec.Requires) || s.advice.barred[w.ID] {
+			continue
+		}
+		free := w.free().Times(spec.Need, spec.Tasks)
+		if _, ok := s.advice.valid(w, now); ok {
+			waiting -= free
+			continue
+		}
+		candidates = append(candidates, w)
+		rackRoom[w.Rack] += free
+	}
+	if waiting <= 0 || len(candidates) == 0 {
+		return Question{}, false
+	}
+	slices.SortStableFunc(candidates, func(a, b *worker) int {
+		return cmp.Or(-cmp.Compare(rackRoom[a.Rack], rackRoom[b.Rack]), cmp.Compare(a.Rack, b.Rack))
+	})
+	id := batch.TaskID{Job: j.ID, Occurrence: k, Step: i}.String()
+	q := Question{Step: id[:len(id)-len(".0")], step: s, boots: map[string]int64{}}
+	for _, w := range candidates[:min(adviceWorkers, len(candidates))] {
+		q.Workers = append(q.Workers, w.ID)
+		q.boots[w.ID] = w.Boot
+	}
+	return q, true
+}
+
+func (w *worker) free() batch.Room {
+	room := w.Capacity
+	for _, o := range w.occupants {
+		room = room.Minus(o.need)
+	}
+	return room
+}
+
+// OnAdvice takes an answer of the adviser into account; a nil answer means that none came. sent is when it was asked.
+func (c *Core) OnAdvice(q Question, a *Advice, sent, now time.Duration) {
+	c.now, c.asking = now, false
+	if a == nil {
+		c.askAfter = now + adviceRetry
+		return
+	}
+	for _, id := range q.Workers {
+		if text, ok := a.Tickets[id]; ok {
+			q.step.advice.tickets[id] = ticket{text, q.boots[id], sent + a.Valid}
+		} else {
+			q.step.advice.barred[id] = true
+		}
+	}
+	c.dirty = true
+	c.log.WithFields(logrus.Fields{"epoch": c.epoch, "step": q.Step, "asked": len(q.Workers), "allowed": len(a.Tickets), "valid_ms": a.Valid.Milliseconds()}).
+		Debug("advice on a step")
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -59,6 +59,8 @@
 	times    runTimes
 	demand   demand
 	forgotAt time.Duration
+	asking   bool          // a question to the adviser is under way
+	askAfter time.Duration // no question to the adviser before
 	wall     int64         // time of day of the last Tick, Unix milliseconds
 	now      time.Duration // of the present call
 }
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -90,6 +90,7 @@
 	opened   bool
 	left     int // tasks that aren't done
 	units    []*unit
+	advice   *advised // of queues whose workers need a ticket
 	openedAt time.Duration
 }
 
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -15,6 +15,7 @@
 	Payload string        // of a start
 	Lease   time.Duration // of a start: end of the lease on the worker's clock
 	Resume  string        // of a start: checkpoint, or empty
+	Ticket  string        // of a start: permission of the adviser, or empty
 	Stop    bool          // a stop instead of a start
 }
 
@@ -28,6 +29,7 @@
 	Superseded        // this or a newer run has ended there or was stopped
 	TooLate           // the lease had ended
 	NoRoom
+	NoTicket  // the ticket is missing or has expired
 	Unhealthy // the worker refused and has done nothing
 	OtherBoot // another life of the worker answered
 	Invalid   // the worker can't make sense of the order
@@ -36,7 +38,7 @@
 
 // String returns the name for logs.
 func (r Result) String() string {
-	return [...]string{"", "accepted", "deposed", "superseded", "too_late", "no_room", "unhealthy", "other_boot", "invalid", "unknown"}[r]
+	return [...]string{"", "accepted", "deposed", "superseded", "too_late", "no_room", "no_ticket", "unhealthy", "other_boot", "invalid", "unknown"}[r]
 }
 
 // Hold renews the lease of everything on a worker, acknowledges ends and reads what runs.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -269,20 +269,21 @@
 			continue
 		}
 		used, ending := batch.Room{}, batch.Room{}
-		serving := false
+		serving, filling := false, false
 		for _, o := range w.occupants {
 			used = used.Plus(o.need)
 			if o.task == nil || o.task.phase == stopping {
 				ending = ending.Plus(o.need)
-			} else if o.task.unit.spec().TailTarget > 0 {
-				serving = true
+			} else {
+				serving = serving || o.task.unit.spec().TailTarget > 0
+				filling = filling || o.task.unit.spec().Filler
 			}
 		}
 		free := w.Capacity.Minus(used)
 		in.index[w.ID] = len(in.workers)
 		in.workers = append(in.workers, w)
 		in.Workers = append(in.Workers, placement.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: free,
-			Soon: free.Plus(ending), Usable: c.usable(w, now), Penalty: w.health.doubt, Serving: serving})
+			Soon: free.Plus(ending), Usable: c.usable(w, now), Penalty: w.health.doubt, Serving: serving, Filling: filling})
 	}
 }
 
@@ -309,7 +310,8 @@
 }
 
 func (c *Core) addRun(in *planInput, u *unit, now time.Duration) {
-	run := placement.Run{ID: u.id, Team: u.job.Team, Priority: u.job.Queue.Priority}
+	run := placement.Run{ID: u.id, Team: u.job.Team, Priority: u.job.Queue.Priority,
+		Fixed: u.spec().MayMiss > 0} // its step bounds how many tasks may be away
 	for _, t := range u.tasks {
 		i, ok := in.index[t.worker]
 		if !ok || t.phase == stopping {
@@ -383,6 +385,7 @@
 	r.Filler = spec.Checkpoints && u.job.Queue.Priority > 1
 	r.Used = c.usedBy(in, u)
 	r.Avoid = c.avoidOf(in, u)
+	r.Only = c.allowedOn(in, u, now)
 	in.Requests = append(in.Requests, r)
 	in.units = append(in.units, units)
 }
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -48,6 +48,11 @@
 		w.fullUntil = now + noRoomPause
 		c.wantHold(w)
 		c.closeRun(t, outRefused, now)
+	case NoTicket:
+		if s := t.unit.job.steps[t.unit.occurrence][t.unit.step]; s.advice != nil {
+			delete(s.advice.tickets, w.ID)
+		}
+		c.closeRun(t, outRefused, now)
 	case Unhealthy, Invalid:
 		w.health.fail(now, 1)
 		c.closeRun(t, outRefused, now)
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -29,6 +29,8 @@
 // Links sends orders to workers. Implementations are safe for concurrent use and bound the time of each call.
 type Links interface {
 	Order(ctx context.Context, o Order) Result
+	// Advise asks which workers may run a step.
+	Advise(ctx context.Context, q Question) (Advice, error)
 	// Hold returns the worker's report. ErrHoldRefused means that the worker has seen a newer epoch.
 	Hold(ctx context.Context, h Hold) (Report, error)
 }
@@ -154,6 +156,9 @@
 		}
 	}
 	r.sendOrders(ctx, group, now)
+	if q, ok := r.core.NextQuestion(now); ok {
+		group.Go(func() { r.ask(ctx, q) })
+	}
 	r.startHolders(ctx, group)
 	return wait
 }
@@ -197,6 +202,22 @@
 	})
 }
 
+// ask puts one question to the adviser.
+func (r *Runner) ask(ctx context.Context, q Question) {
+	sent := r.clock.SinceBoot()
+	a, err := r.links.Advise(ctx, q)
+	if err != nil {
+		r.log.WithFields(logrus.Fields{"step": q.Step, "workers": len(q.Workers)}).WithError(err).Info("no advice")
+	}
+	r.Do(func(c *Core, now time.Duration) {
+		if err != nil {
+			c.OnAdvice(q, nil, sent, now)
+			return
+		}
+		c.OnAdvice(q, &a, sent, now)
+	})
+}
+
 // startHolders runs one goroutine for each worker and wakes those with something to read or to acknowledge.
 func (r *Runner) startHolders(ctx context.Context, group *sync.WaitGroup) {
 	for _, id := range r.core.TakeWakes() {
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -182,7 +182,7 @@
 	c.logTask(t).WithFields(logrus.Fields{"waited_ms": (now - t.unit.readySince).Milliseconds(), "resume": t.checkpoint != ""}).Info("starting run")
 	c.wakes = append(c.wakes, w.ID)
 	c.orders = append(c.orders, Order{Worker: w.Worker, Epoch: c.epoch, Task: t.name, Run: run, Payload: t.unit.job.Payload,
-		Lease: lease, Resume: t.unit.resume()})
+		Lease: lease, Resume: t.unit.resume(), Ticket: t.ticketFor(w, now)})
 }
 
 // resume returns the checkpoint from which the unit goes on. All members of a gang have to name the same one.
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -90,7 +90,8 @@
 // times returns how many tasks of the request fit on a worker.
 func (p *planner) times(r *Request, w, limit int, room roomOf) int {
 	worker := &p.workers[w]
-	if !worker.Usable || r.Avoid[w] || !hasLabel(worker, r.Step.Requires) || r.Step.Filler && worker.Serving {
+	if !worker.Usable || r.Avoid[w] || !hasLabel(worker, r.Step.Requires) || r.Step.Filler && worker.Serving ||
+		r.Step.TailTarget > 0 && worker.Filling || r.Only != nil && !r.Only[w] {
 		return 0
 	}
 	if r.Step.MaxPerWorker > 0 {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -31,6 +31,7 @@
 	Usable   bool       // may get new work
 	Penalty  float64    // doubt in the worker's health; 0 means none
 	Serving  bool       // runs tasks with a bound on their response times
+	Filling  bool       // runs tasks that use the processor time that others leave
 }
 
 // Run is a unit that runs. A unit is a gang or a single task.
@@ -60,6 +61,7 @@
 	Count    int
 	Gang     bool
 	Used     map[int]int  // tasks of the same step per worker; not nil and shared by all requests of the step if Step.MaxPerWorker is set
+	Only     map[int]bool // workers that may run it; nil means all
 	Avoid    map[int]bool // workers on which it failed
 	Spread   bool         // may leave its rack
 	Claim    bool         // may stop less urgent runs
@@ -147,10 +149,11 @@
 	p.reserve(r)
 }
 
-// allowed returns how many tasks of the request may start without using the room that is kept.
+// allowed returns how many tasks of the request may start without using the room that is kept. Long-running tasks don't wait for
+// urgent work that may come: they are owed at all times.
 func (p *planner) allowed(r *Request) int {
 	need := r.Step.Need.CoreEquivalents()
-	if r.Claim || r.Filler || need == 0 {
+	if r.Claim || r.Filler || r.Step.LongRunning || need == 0 {
 		return r.Count
 	}
 	n := int(max(0, p.spare) / need)
