Restart long-running tasks first, reserve nothing behind them

Change: reservations count only room whose runs end; an interrupted long-running task comes right after urgent work. Test: a reservation behind such tasks; fails before.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -268,13 +268,16 @@
 		if w.Service != service {
 			continue
 		}
-		used, ending := batch.Room{}, batch.Room{}
+		used, ending, lasting := batch.Room{}, batch.Room{}, batch.Room{}
 		serving, filling := false, false
 		for _, o := range w.occupants {
 			used = used.Plus(o.need)
 			if o.task == nil || o.task.phase == stopping {
 				ending = ending.Plus(o.need)
 			} else {
+				if o.task.unit.spec().LongRunning {
+					lasting = lasting.Plus(o.need)
+				}
 				serving = serving || o.task.unit.spec().TailTarget > 0
 				filling = filling || o.task.unit.spec().Filler
 			}
@@ -283,7 +286,7 @@
 		in.index[w.ID] = len(in.workers)
 		in.workers = append(in.workers, w)
 		in.Workers = append(in.Workers, placement.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: free,
-			Soon: free.Plus(ending), Usable: c.usable(w, now), Penalty: w.health.doubt, Serving: serving, Filling: filling})
+			Soon: free.Plus(ending), Ending: w.Capacity.Minus(lasting), Usable: c.usable(w, now), Penalty: w.health.doubt, Serving: serving, Filling: filling})
 	}
 }
 
@@ -354,12 +357,21 @@
 	if a.job == b.job {
 		return cmp.Or(cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.step, b.step), cmp.Compare(len(a.failed), len(b.failed)))
 	}
-	return cmp.Or(cmp.Compare(a.job.Queue.Priority, b.job.Queue.Priority),
+	return cmp.Or(cmp.Compare(a.urgency(), b.urgency()),
 		cmp.Compare(rank(within[a.job]), rank(within[b.job])),
 		cmp.Compare(rank(c.inTime(a)), rank(c.inTime(b))),
 		cmp.Compare(a.job.AcceptedMS, b.job.AcceptedMS), cmp.Compare(a.job.seq, b.job.seq))
 }
 
+// urgency is the priority of a unit's job, but a long-running task that was interrupted comes right after urgent work: it is owed at all
+// times, whatever its priority.
+func (u *unit) urgency() float64 {
+	if p := u.job.Queue.Priority; p == 0 || !u.spec().LongRunning || u.run == 0 {
+		return float64(p)
+	}
+	return 0.5
+}
+
 func rank(first bool) int {
 	if first {
 		return 0
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -12,6 +12,7 @@
 
 func freeRoom(w *Worker) batch.Room     { return w.Free }
 func soonRoom(w *Worker) batch.Room     { return w.Soon }
+func endingRoom(w *Worker) batch.Room   { return w.Ending }
 func capacityRoom(w *Worker) batch.Room { return w.Capacity }
 
 // fit returns a worker for each of count tasks; for a gang all or none, else as many as fit.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -28,6 +28,7 @@
 	Capacity batch.Room
 	Free     batch.Room // free now
 	Soon     batch.Room // Free and the room of runs that are being stopped
+	Ending   batch.Room // Capacity without what runs for an unknown time
 	Usable   bool       // may get new work
 	Penalty  float64    // doubt in the worker's health; 0 means none
 	Serving  bool       // runs tasks with a bound on their response times
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -23,7 +23,7 @@
 	for r := range racks {
 		for i := range perRack {
 			rack := fmt.Sprintf("r%d", r)
-			out = append(out, Worker{ID: fmt.Sprintf("w%d-%d", r, i), Rack: rack, Labels: []string{"a", rack}, Capacity: whole, Free: whole, Soon: whole, Usable: true})
+			out = append(out, Worker{ID: fmt.Sprintf("w%d-%d", r, i), Rack: rack, Labels: []string{"a", rack}, Capacity: whole, Free: whole, Soon: whole, Ending: whole, Usable: true})
 		}
 	}
 	return out
@@ -118,6 +118,18 @@
 	must.MapLen(t, 1, racksOf(in, d.Placements[0].Workers), must.Sprint("one rack is left to run empty"))
 }
 
+// Guards against room that is reserved for ever, on workers whose tasks never end.
+func TestNothingIsReservedBehindLongRunningTasks(t *testing.T) {
+	in := Input{Workers: fleet(1, 2)}
+	for w := range in.Workers {
+		occupy(&in, Run{Priority: 2}, w, one)
+		in.Workers[w].Ending = in.Workers[w].Ending.Minus(one)
+	}
+	in.Requests = []Request{{Step: &batch.Step{Need: eight, Gang: true, SameRack: true}, Count: 2, Gang: true, Priority: 1, Waited: time.Minute},
+		{Step: &batch.Step{Need: one}, Count: 3, Priority: 2}}
+	must.Len(t, 1, Plan(in).Placements)
+}
+
 // Guards against placements on workers that are unusable, lack a label, failed the unit before or hold too many tasks of the step.
 func TestUnsuitableWorkersAreLeftOut(t *testing.T) {
 	in := Input{Workers: fleet(1, 4)}
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -23,7 +23,7 @@
 	}
 }
 
-// reservable returns the fewest workers that could hold the request once they are empty: those with the most room now.
+// reservable returns the fewest workers that could hold the request once the runs there that end have ended: those with the most room now.
 func (p *planner) reservable(r *Request) []int {
 	groups := [][]int{p.all}
 	if r.Step.SameRack && p.fitsSomeRack(r) {
@@ -51,7 +51,7 @@
 	})
 	slots, room := 0, 0.0
 	for i, w := range order {
-		slots += p.times(r, w, r.Count, capacityRoom)
+		slots += p.times(r, w, r.Count, endingRoom)
 		room += p.workers[w].Soon.CoreEquivalents()
 		if slots >= r.Count {
 			return order[:i+1], room / float64(i+1)
