--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -2,6 +2,25 @@
 
 package api
 
+// Workers that may run the step.
+type AdviceAnswer struct {
+	// One for each worker that may.
+	Tickets []Ticket `json:"tickets"`
+
+	// How long the permissions are valid, milliseconds.
+	ValidMS int `json:"validMs"`
+}
+
+// Asks another host to put a question to the adviser, which serves each host in
+// turn.
+type AdviceQuestion struct {
+	// Step of a job.
+	Step string `json:"step"`
+
+	// Workers in question.
+	Workers []string `json:"workers"`
+}
+
 // Data that another component adds to a ping or a pong.
 type Attachment struct {
 	// Data, usually JSON text.
@@ -400,3 +419,12 @@
 	// Version, or the one that is required.
 	Version int `json:"version"`
 }
+
+// Permission to run a step on a worker.
+type Ticket struct {
+	// Text of the permission.
+	Ticket string `json:"ticket"`
+
+	// Id of the worker.
+	Worker string `json:"worker"`
+}
--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -52,6 +52,7 @@
 	Processors float64
 	Store      rowstore.Store
 	Peers      Peers
+	OtherHosts func() []string // addresses of some other hosts
 	Sources    Sources
 	Links      dispatch.Links
 	Bounds     dispatch.Bounds
@@ -187,7 +188,8 @@
 	if err != nil {
 		return err
 	}
-	r := dispatch.NewRunner(core, session, h.options.Links, h.options.Clock, h.options.Metrics, h.options.Log)
+	r := dispatch.NewRunner(core, session, adviceLinks{h.options.Links, h.options.Peers}, h.options.Clock, h.options.Metrics, h.options.Log)
+	r.SetAskers(h.options.OtherHosts())
 	h.setRunner(r, session.Epoch())
 	var group sync.WaitGroup
 	defer group.Wait()
--- a/internal/batchhost/leader.go
+++ b/internal/batchhost/leader.go
@@ -30,6 +30,9 @@
 	methods[peer.MethodJobState] = peer.Handle(func(_ context.Context, _ api.HostIdentity, q api.JobStateQuery) (api.JobStateAnswer, error) {
 		return h.jobState(q.Job), nil
 	})
+	methods[peer.MethodAdvise] = peer.Handle(func(ctx context.Context, _ api.HostIdentity, q api.AdviceQuestion) (api.AdviceAnswer, error) {
+		return h.advise(ctx, q)
+	})
 }
 
 // jobState returns the state of a job as this host knows it as the leader.
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -23,6 +23,7 @@
 type Question struct {
 	Step    string // JOB.OCCURRENCE.STEP
 	Workers []string
+	Via     string // address of the host that asks; empty for this one
 	step    *stepState
 	boots   map[string]int64
 }
@@ -44,6 +45,7 @@
 type advised struct {
 	tickets map[string]ticket
 	barred  map[string]bool
+	asked   bool // a question is under way
 }
 
 // isAdvised reports whether the workers of a job need a ticket.
@@ -87,9 +89,11 @@
 	return text
 }
 
-// NextQuestion returns a question for the waiting step that is served next; false if there is none or one is under way.
-func (c *Core) NextQuestion(now time.Duration) (Question, bool) {
-	if c.asking || now < c.askAfter || c.freeze {
+// NextQuestion returns a question for the waiting step that is served next; false if there is none. The adviser serves each host in
+// turn, so each of the askers, by address, has one question under way at most.
+func (c *Core) NextQuestion(now time.Duration, askers []string) (Question, bool) {
+	via, idle := c.idleAsker(now, askers)
+	if !idle || c.freeze {
 		return Question{}, false
 	}
 	for _, j := range c.byPriority() {
@@ -99,7 +103,8 @@
 		for k, steps := range j.steps {
 			for i, s := range steps {
 				if q, ok := c.question(j, k, i, s, now); ok {
-					c.asking = true
+					q.Via, s.advice.asked = via, true
+					c.asking[via] = askBusy
 					return q, true
 				}
 			}
@@ -108,6 +113,18 @@
 	return Question{}, false
 }
 
+// askBusy marks an asker whose question is under way.
+const askBusy = time.Duration(1<<63 - 1)
+
+func (c *Core) idleAsker(now time.Duration, askers []string) (string, bool) {
+	for _, a := range askers {
+		if now >= c.asking[a] {
+			return a, true
+		}
+	}
+	return "", false
+}
+
 func (c *Core) byPriority() []*job {
 	out := slices.Clone(c.live)
 	slices.SortStableFunc(out, func(a, b *job) int { return cmp.Compare(a.Queue.Priority, b.Queue.Priority) })
@@ -122,7 +139,7 @@
 			waiting += len(u.tasks)
 		}
 	}
-	if !s.opened || waiting == 0 {
+	if !s.opened || waiting == 0 || s.advice != nil && s.advice.asked {
 		return Question{}, false
 	}
 	if s.advice == nil {
@@ -168,9 +185,10 @@
 
 // OnAdvice takes an answer of the adviser into account; a nil answer means that none came. sent is when it was asked.
 func (c *Core) OnAdvice(q Question, a *Advice, sent, now time.Duration) {
-	c.now, c.asking = now, false
+	c.now = now
+	c.asking[q.Via], q.step.advice.asked = now, false
 	if a == nil {
-		c.askAfter = now + adviceRetry
+		c.asking[q.Via] = now + adviceRetry
 		return
 	}
 	for _, id := range q.Workers {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -59,16 +59,15 @@
 	times    runTimes
 	demand   demand
 	forgotAt time.Duration
-	asking   bool          // a question to the adviser is under way
-	askAfter time.Duration // no question to the adviser before
-	wall     int64         // time of day of the last Tick, Unix milliseconds
-	now      time.Duration // of the present call
+	asking   map[string]time.Duration // when each asker may put the next question to the adviser
+	wall     int64                    // time of day of the last Tick, Unix milliseconds
+	now      time.Duration            // of the present call
 }
 
 // New returns the core of a new leader. now is the time at which its epoch was stored.
 func New(epoch uint64, policy *batch.Policy, bounds Bounds, log logrus.FieldLogger) *Core {
 	return &Core{epoch: epoch, bounds: bounds, log: log, policy: policy, jobs: map[string]*job{}, ended: map[string]endedJob{},
-		workers: map[string]*worker{}, rows: rowQueue{marked: map[rowID]bool{}}, dirty: true, times: runTimes{}}
+		workers: map[string]*worker{}, rows: rowQueue{marked: map[rowID]bool{}}, dirty: true, times: runTimes{}, asking: map[string]time.Duration{}}
 }
 
 // endedJob is a job whose end is stored.
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -55,6 +55,7 @@
 	clock   Clock
 	log     logrus.FieldLogger
 	metrics Metrics
+	askers  []string // addresses of hosts that may ask the adviser; empty for this one
 
 	kick      chan struct{}
 	holders   map[string]chan struct{} // wakes the goroutine that reads a worker
@@ -75,9 +76,12 @@
 // NewRunner returns a runner of a core that was just restored.
 func NewRunner(core *Core, s *lead.Session, l Links, c Clock, m Metrics, log logrus.FieldLogger) *Runner {
 	return &Runner{core: core, session: s, links: l, clock: c, metrics: m, log: log, kick: make(chan struct{}, 1),
-		holders: map[string]chan struct{}{}, sentAt: c.SinceBoot()}
+		holders: map[string]chan struct{}{}, askers: []string{""}, sentAt: c.SinceBoot()}
 }
 
+// SetAskers names the hosts that may put questions to the adviser, by address. It must be called before Run.
+func (r *Runner) SetAskers(addresses []string) { r.askers = append([]string{""}, addresses...) }
+
 // Do changes the core and lets the runner act on it.
 func (r *Runner) Do(f func(c *Core, now time.Duration)) {
 	r.mu.Lock()
@@ -156,7 +160,11 @@
 		}
 	}
 	r.sendOrders(ctx, group, now)
-	if q, ok := r.core.NextQuestion(now); ok {
+	for {
+		q, ok := r.core.NextQuestion(now, r.askers)
+		if !ok {
+			break
+		}
 		group.Go(func() { r.ask(ctx, q) })
 	}
 	r.startHolders(ctx, group)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -41,6 +41,7 @@
 	MethodKeyBlocks    = "key.blocks" // the blocked keys that a member knows
 	MethodLeader       = "leader"     // whether a host leads
 	MethodJobState     = "job.state"  // the state of a job as the leader knows it
+	MethodAdvise       = "advise"     // a question to the adviser on behalf of the leader
 	MethodRelay        = "relay"      // a call to the table service on behalf of a host that can't make it
 )
 
