--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -37,6 +37,9 @@
 
 // Core is the state of the leading host. It isn't safe for concurrent use.
 type Core struct {
+	// budget returns the work that a unit may throw away to start now, in core-seconds.
+	budget func(u *unit, within bool, waited time.Duration) float64
+
 	epoch   uint64
 	bounds  Bounds
 	log     logrus.FieldLogger
@@ -66,8 +69,10 @@
 
 // New returns the core of a new leader. now is the time at which its epoch was stored.
 func New(epoch uint64, policy *batch.Policy, bounds Bounds, log logrus.FieldLogger) *Core {
-	return &Core{epoch: epoch, bounds: bounds, log: log, policy: policy, jobs: map[string]*job{}, ended: map[string]endedJob{},
+	c := &Core{epoch: epoch, bounds: bounds, log: log, policy: policy, jobs: map[string]*job{}, ended: map[string]endedJob{},
 		workers: map[string]*worker{}, rows: rowQueue{marked: map[rowID]bool{}}, dirty: true, times: runTimes{}, asking: map[string]time.Duration{}}
+	c.budget = c.budgetOf
+	return c
 }
 
 // endedJob is a job whose end is stored.
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -59,11 +59,13 @@
 	cancelled map[string]bool
 	calm      bool // no fault is near
 	broken    []string
+	wasted    float64                  // accelerator-seconds of runs that were stopped
+	begun     map[string]time.Duration // first start of each job
 }
 
 func newFleet(seed uint64, racks, perRack int) *fakeFleet {
 	f := &fakeFleet{rng: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*fakeWorker{}, jobs: map[string]batch.Job{}, poison: map[string]bool{},
-		doneAcked: map[string]time.Duration{}, failures: map[string]int{}, cancelled: map[string]bool{}, calm: true}
+		doneAcked: map[string]time.Duration{}, begun: map[string]time.Duration{}, failures: map[string]int{}, cancelled: map[string]bool{}, calm: true}
 	for r := range racks {
 		for i := range perRack {
 			f.addWorker(fmt.Sprintf("w%d-%d", r, i), fmt.Sprintf("rack-%d", r))
@@ -161,6 +163,9 @@
 		return NoRoom
 	}
 	f.checkStart(w, o, id, j)
+	if _, ok := f.begun[id.Job]; !ok {
+		f.begun[id.Job] = f.now
+	}
 	w.lease = max(w.lease, min(o.Lease, w.clock()+testBounds.LeaseMax))
 	work := time.Duration(500+f.rng.IntN(3000)) * time.Millisecond
 	w.running[o.Task] = &fakeRun{run: o.Run, begun: f.now, work: work, left: work, alone: f.now + testBounds.GangWait}
@@ -250,6 +255,10 @@
 func (w *fakeWorker) end(name string, k EndKind) {
 	r := w.running[name]
 	delete(w.running, name)
+	if k == EndStopped {
+		id, _ := batch.ParseTaskID(name)
+		w.fleet.wasted += (w.fleet.now - r.begun).Seconds() * float64(w.fleet.jobs[id.Job].Steps[id.Step].Need.Accelerators)
+	}
 	w.highest[name] = max(w.highest[name], r.run)
 	w.count++
 	w.ended = append(w.ended, EndReport{N: w.count, Task: name, Run: r.run, Kind: k})
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -393,7 +393,7 @@
 		r.Count = len(u.tasks)
 	}
 	r.Spread = r.Claim && waited > spreadAfter
-	r.Budget = c.budgetOf(u, within[u.job], waited)
+	r.Budget = c.budget(u, within[u.job], waited)
 	r.Filler = spec.Checkpoints && u.job.Queue.Priority > 1
 	r.Used = c.usedBy(in, u)
 	r.Avoid = c.avoidOf(in, u)
