Serve by a configuration of up to 6 s

Cause: in an outage of the table hosts refused every request, also for states that the leader knew, from 4 s on. Change: 6 s, under the 7 s that hold for a host that is refused while others are served.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -67,8 +67,8 @@
 }
 
 // maxPolicyAge is the age at which a configuration that can't be confirmed is no longer used: keys may have been taken away since. It lies
-// under the time in which a change has to be in force on a host that has lost the table (7 s).
-const maxPolicyAge = 4 * time.Second
+// under the time in which a change has to be in force on a host that the table refuses while it serves others (7 s).
+const maxPolicyAge = 6 * time.Second
 
 // Leader knows the newest states of jobs.
 type Leader interface {
