--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -12,6 +12,7 @@
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 
+	"samphirewell/internal/netconn"
 	"samphirewell/internal/outcome"
 	"samphirewell/internal/wire"
 )
@@ -59,29 +60,22 @@
 }
 
 func (s *Server) accept(ln net.Listener) {
-	for {
-		conn, err := ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			s.counters.Add("accept_errors", 1)
-			time.Sleep(10 * time.Millisecond) // out of file descriptors: wait until some are closed
-			continue
-		}
-		c := &callerConn{server: s, conn: conn}
-		if s.pause.stale(s.uptime()) {
-			s.counters.Add("connections_after_pause", 1)
-			_ = conn.Close()
-			continue
-		}
-		if !s.track(c) {
-			s.counters.Add("connections_refused", 1)
-			_ = conn.Close()
-			continue
-		}
-		go c.loop()
+	netconn.Accept(ln, func(error) { s.counters.Add("accept_errors", 1) }, s.serveConn)
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	c := &callerConn{server: s, conn: conn}
+	if s.pause.stale(s.uptime()) {
+		s.counters.Add("connections_after_pause", 1)
+		_ = conn.Close()
+		return
+	}
+	if !s.track(c) {
+		s.counters.Add("connections_refused", 1)
+		_ = conn.Close()
+		return
 	}
+	go c.loop()
 }
 
 func (s *Server) track(c *callerConn) bool {
--- a/internal/front/pool.go
+++ b/internal/front/pool.go
@@ -8,7 +8,7 @@
 	"sync"
 	"sync/atomic"
 
-	"samphirewell/internal/netidle"
+	"samphirewell/internal/netconn"
 	"samphirewell/internal/registry"
 )
 
@@ -139,5 +139,5 @@
 	if c.buf.Buffered() > 0 {
 		return false, true
 	}
-	return netidle.Quiet(c.Conn)
+	return netconn.Quiet(c.Conn)
 }
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -15,7 +15,7 @@
 
 	"github.com/pkg/errors"
 
-	"samphirewell/internal/netidle"
+	"samphirewell/internal/netconn"
 )
 
 const (
@@ -101,7 +101,7 @@
 		if cn == nil {
 			break
 		}
-		if quiet, _ := netidle.Quiet(cn.Conn); quiet && cn.reader.Buffered() == 0 {
+		if quiet, _ := netconn.Quiet(cn.Conn); quiet && cn.reader.Buffered() == 0 {
 			return cn, nil
 		}
 		_ = cn.Close()
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -13,6 +13,8 @@
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+
+	"samphirewell/internal/netconn"
 )
 
 const (
@@ -97,23 +99,14 @@
 }
 
 func (s *Server) accept(ln net.Listener) {
-	for {
-		conn, err := ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			s.log.WithError(err).Warn("accept failed")
-			time.Sleep(10 * time.Millisecond) // out of file descriptors: wait until some are closed
-			continue
-		}
+	netconn.Accept(ln, func(err error) { s.log.WithError(err).Warn("accept failed") }, func(conn net.Conn) {
 		c := &serverConn{server: s, conn: conn}
 		if !s.track(c) {
 			_ = conn.Close()
-			continue
+			return
 		}
 		go c.loop()
-	}
+	})
 }
 
 func (s *Server) track(c *serverConn) bool {
--- a/internal/netidle/netidle.go
+++ b/internal/netconn/netidle.go
@@ -1,5 +1,5 @@
-// Package netidle looks at idle connections.
-package netidle
+// Package netconn holds what clients and servers share about connections: accepting them and looking at idle ones.
+package netconn
 
 import (
 	"net"
