--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -167,6 +167,7 @@
 	session, err := lead.Claim(ctx, h.options.Store, leaderKey, observed,
 		lead.Row{Host: h.options.HostID, Address: h.options.Address, Processors: h.options.Processors, Boot: h.options.Boot})
 	if err != nil {
+		h.watch.Tried(observed.Version, time.Now())
 		log.WithError(err).Info("claim of leadership failed")
 		return
 	}
@@ -253,18 +254,22 @@
 }
 
 func (h *Host) tryRestore(ctx context.Context, core *dispatch.Core) (uint64, error) {
-	s := h.options.Store
-	states, _, err := rowstore.ScanAll(ctx, s, dispatch.TableStates, []string{dispatch.Part})
-	if err != nil {
-		return 0, err
-	}
-	tasks, _, err := rowstore.ScanAll(ctx, s, dispatch.TableTasks, []string{dispatch.Part})
-	if err != nil {
-		return 0, err
+	var states, tasks, inbox []rowstore.Row
+	var version uint64
+	var errs [3]error
+	var group sync.WaitGroup
+	scan := func(err *error, rows *[]rowstore.Row, version *uint64, table string, parts []string) {
+		group.Go(func() { *rows, *version, *err = rowstore.ScanAll(ctx, h.options.Store, table, parts) })
 	}
-	inbox, version, err := rowstore.ScanAll(ctx, s, intake.TableInbox, intake.InboxParts())
-	if err != nil {
-		return 0, err
+	var ignored [2]uint64
+	scan(&errs[0], &states, &ignored[0], dispatch.TableStates, []string{dispatch.Part})
+	scan(&errs[1], &tasks, &ignored[1], dispatch.TableTasks, []string{dispatch.Part})
+	scan(&errs[2], &inbox, &version, intake.TableInbox, intake.InboxParts())
+	group.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return 0, err
+		}
 	}
 	var jobs []batch.Job
 	var cancels []string
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -135,6 +135,24 @@
 	must.False(t, due, must.Sprint("the leader has had no time to write again"))
 }
 
+// Guards against a host that claims again and again on a row that another host has changed already.
+func TestFailedClaimIsNotRepeatedAtOnce(t *testing.T) {
+	store := memstore.New()
+	l := claim(t, store, "a")
+	must.NoError(t, l.Release(context.Background(), nil, nil))
+	w := NewWatch(key, "x", 1)
+	start := time.Unix(1000, 0)
+	observed(w, l, t, store, start)
+	row, due := w.ClaimDue(start.Add(200 * time.Millisecond))
+	must.True(t, due)
+	w.Tried(row.Version, start.Add(200*time.Millisecond))
+	_, due = w.ClaimDue(start.Add(300 * time.Millisecond))
+	must.False(t, due)
+	w.Fresh(start.Add(time.Second))
+	_, due = w.ClaimDue(start.Add(time.Second))
+	must.True(t, due)
+}
+
 // Guards against a weak host that leads although a strong one lives, and against a slow handover when a leader stops.
 func TestWeakHostsClaimLater(t *testing.T) {
 	store := memstore.New()
--- a/internal/lead/watch.go
+++ b/internal/lead/watch.go
@@ -16,6 +16,8 @@
 	suspectAfter = 500 * time.Millisecond
 	// askAgain is the pause between two questions to the leader.
 	askAgain = 300 * time.Millisecond
+	// tryAgain is the pause after a failed claim on the same version of the row: two reads of the table.
+	tryAgain = 600 * time.Millisecond
 	// staleAfter is the time without a change after which a leader that answers counts as lost too. A store that is slowed 60 times
 	// lets a leader write twice a second. A false alarm costs a takeover but breaks nothing.
 	staleAfter = 2500 * time.Millisecond
@@ -39,6 +41,8 @@
 	asked      time.Time // when the leader was last asked
 	dead       uint64    // version of the row whose leader didn't answer or can't write
 	deadAt     time.Time // when dead was set
+	tried      uint64    // version of the row on which a claim failed
+	triedAt    time.Time // when it failed
 }
 
 // NewWatch returns a watch for a host. key is that of the leader row. Hosts with more processors claim earlier: leading costs more than
@@ -116,6 +120,9 @@
 	if !w.known || now.Sub(w.fresh) > staleAfter {
 		return rowstore.Row{}, false
 	}
+	if !w.triedAt.IsZero() && w.tried == w.row.Version && now.Sub(w.triedAt) < tryAgain {
+		return rowstore.Row{}, false
+	}
 	if w.row.Version == 0 {
 		return w.row, now.Sub(w.changed) > w.delay+w.weakness(1)
 	}
@@ -130,6 +137,13 @@
 	return w.row, now.Sub(w.changed) > staleAfter+w.delay+late
 }
 
+// Tried notes that a claim based on this version of the row failed: most likely another host was faster, and the row is about to change here too.
+func (w *Watch) Tried(version uint64, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.tried, w.triedAt = version, now
+}
+
 // Sleep waits and reports whether ctx goes on.
 func Sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -78,29 +79,54 @@
 	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Changes, error)
 }
 
-// ScanAll returns all rows of the parts of a table and the oldest version of the scans. Changes after that version may be contained already.
+// ScanAll returns all rows of the parts of a table and the oldest version of the scans. Changes after that version may be contained already. The parts
+// are read at the same time, since each answer of a slow store takes long.
 func ScanAll(ctx context.Context, s Store, table string, parts []string) ([]Row, uint64, error) {
+	type result struct {
+		rows    []Row
+		version uint64
+		err     error
+	}
+	results := make([]result, len(parts))
+	var group sync.WaitGroup
+	for i, part := range parts {
+		group.Go(func() {
+			rows, version, err := scanPart(ctx, s, table, part)
+			results[i] = result{rows, version, err}
+		})
+	}
+	group.Wait()
 	var rows []Row
 	oldest := uint64(0)
-	for i, part := range parts {
-		from := ""
-		for first := true; ; first = false {
-			r, err := s.Scan(ctx, table, part, Range{From: from})
-			if err != nil {
-				return nil, 0, err
-			}
-			if !first && len(r.Rows) > 0 && r.Rows[0].Key.Key == from {
-				r.Rows = r.Rows[1:] // the last row of the page before
-			}
-			rows = append(rows, r.Rows...)
-			if first && (i == 0 || r.Version < oldest) {
-				oldest = r.Version
-			}
-			if !r.More || len(r.Rows) == 0 {
-				break
-			}
-			from = r.Rows[len(r.Rows)-1].Key.Key
+	for i, r := range results {
+		if r.err != nil {
+			return nil, 0, r.err
+		}
+		rows = append(rows, r.rows...)
+		if i == 0 || r.version < oldest {
+			oldest = r.version
 		}
 	}
 	return rows, oldest, nil
 }
+
+// scanPart returns all rows of a part and the version of its first page.
+func scanPart(ctx context.Context, s Store, table, part string) (rows []Row, version uint64, err error) {
+	from := ""
+	for first := true; ; first = false {
+		r, err := s.Scan(ctx, table, part, Range{From: from})
+		if err != nil {
+			return nil, 0, err
+		}
+		if first {
+			version = r.Version
+		} else if len(r.Rows) > 0 && r.Rows[0].Key.Key == from {
+			r.Rows = r.Rows[1:] // the last row of the page before
+		}
+		rows = append(rows, r.Rows...)
+		if !r.More || len(r.Rows) == 0 {
+			return rows, version, nil
+		}
+		from = r.Rows[len(r.Rows)-1].Key.Key
+	}
+}
--- a/internal/rowstore/rowstore_test.go
+++ b/internal/rowstore/rowstore_test.go
@@ -37,6 +37,29 @@
 	must.MapLen(t, 1202, seen)
 }
 
+// slowStore takes its time for each scan.
+type slowStore struct{ rowstore.Store }
+
+// Scan implements rowstore.Store.
+func (s slowStore) Scan(ctx context.Context, table, part string, within rowstore.Range) (rowstore.ScanResult, error) {
+	time.Sleep(100 * time.Millisecond)
+	return s.Store.Scan(ctx, table, part, within)
+}
+
+// Guards against a takeover that takes a round trip of a slow store for each part.
+func TestScanAllReadsPartsAtTheSameTime(t *testing.T) {
+	s := memstore.New()
+	parts := []string{"a", "b", "c", "d", "e", "f", "g", "h"}
+	for _, p := range parts {
+		s.Put(rowKey(p, "k"), []byte("x"))
+	}
+	begin := time.Now()
+	rows, _, err := rowstore.ScanAll(context.Background(), slowStore{s}, "t", parts)
+	must.NoError(t, err)
+	must.Len(t, len(parts), rows)
+	must.Less(t, 400*time.Millisecond, time.Since(begin))
+}
+
 // copyOf is a handler that keeps the rows.
 type copyOf struct {
 	mu     sync.Mutex
