Count authority from the first try of a write; give a new leader the newest configuration

Cause (read in review): a configuration that arrived while a host took over reached its core only with the next version; the age of the last write was measured on a clock that stands still while a host is suspended.

--- a/internal/batch/policy.go
+++ b/internal/batch/policy.go
@@ -95,13 +95,3 @@
 	}
 	return 0
 }
-
-// GuardsOverload reports whether the workers of a service refuse starts that don't fit.
-func (p *Policy) GuardsOverload(service string) bool {
-	for _, s := range p.Services {
-		if s.Name == service {
-			return s.Guards
-		}
-	}
-	return false
-}
--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -192,6 +192,8 @@
 	r := dispatch.NewRunner(core, session, adviceLinks{h.options.Links, h.options.Peers}, h.options.Clock, h.options.Metrics, h.options.Log)
 	r.SetAskers(h.options.OtherHosts())
 	h.setRunner(r, session.Epoch())
+	// A configuration that came while the core was restored has not reached it.
+	r.Do(func(c *dispatch.Core, _ time.Duration) { c.SetPolicy(h.intake.Policy()) })
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer stop()
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -10,12 +10,8 @@
 
 // Bounds are the limits that workers and operators set.
 type Bounds struct {
-	LeaseMax   time.Duration // longest lease that a worker grants
-	StopMax    time.Duration // longest time that a stop takes
-	FarFactor  float64       // run time on a rack without the data, relative to the rack with it
-	GangWait   time.Duration // a member of a gang ends if the others don't come in this time
-	DrainLimit time.Duration // a draining worker gets no start later than this after its notice
-	Checkpoint time.Duration // work between two checkpoints
+	LeaseMax time.Duration // longest lease that a worker grants
+	StopMax  time.Duration // longest time that a stop takes
 }
 
 const (
@@ -311,16 +307,5 @@
 	return units[id.Index].tasks[0]
 }
 
-// Pending returns the number of accepted jobs that haven't started and have no schedule.
-func (c *Core) Pending() int {
-	n := 0
-	for _, j := range c.live {
-		if j.state == batch.Pending {
-			n++
-		}
-	}
-	return n
-}
-
 // wallMS is set by Tick; schedules are measured in time of day.
 func (c *Core) wallMS() int64 { return c.wall }
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -168,7 +168,7 @@
 	}
 	w.lease = max(w.lease, min(o.Lease, w.clock()+testBounds.LeaseMax))
 	work := time.Duration(500+f.rng.IntN(3000)) * time.Millisecond
-	w.running[o.Task] = &fakeRun{run: o.Run, begun: f.now, work: work, left: work, alone: f.now + testBounds.GangWait}
+	w.running[o.Task] = &fakeRun{run: o.Run, begun: f.now, work: work, left: work, alone: f.now + testGangWait}
 	return Accepted
 }
 
--- a/internal/dispatch/holds.go
+++ b/internal/dispatch/holds.go
@@ -55,16 +55,3 @@
 
 // Knows reports whether the worker is registered or may run something.
 func (c *Core) Knows(id string) bool { return c.workers[id] != nil }
-
-// LeaseWorkers returns the number of workers on which runs may exist and the workers that haven't answered yet.
-func (c *Core) LeaseWorkers() (busy, silent int) {
-	for _, w := range c.workers {
-		if len(w.occupants) > 0 {
-			busy++
-		}
-		if w.registered && !w.contacted {
-			silent++
-		}
-	}
-	return busy, silent
-}
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -158,7 +158,9 @@
 	}
 	switch {
 	case t != nil && t.worker == w.ID && t.unit.run == e.Run && (t.phase.located() || t.phase == assigned):
-		c.judge(w, e.Kind, now)
+		if e.Kind == EndDone {
+			w.health.succeed()
+		}
 		c.closeRun(t, outcomeOf[e.Kind], now)
 	case t != nil && e.Kind == EndDone && t.phase != done:
 		// A run that was given up as lapsed was done before. Another run of the task isn't needed any more.
@@ -197,12 +199,6 @@
 	c.afterStored(t.row(), ack)
 }
 
-func (c *Core) judge(w *worker, k EndKind, _ time.Duration) {
-	if k == EndDone {
-		w.health.succeed()
-	}
-}
-
 // adoptDone accepts the result of an earlier run and ends the present one.
 func (c *Core) adoptDone(t *task, now time.Duration) {
 	for _, m := range t.unit.tasks {
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -381,9 +381,9 @@
 	if err := write(ctx, cm.Puts, cm.Removes); err != nil {
 		return err
 	}
-	age := time.Since(r.session.Sent)
 	r.Do(func(c *Core, now time.Duration) {
-		r.sentAt = now - age
+		// The first try may have been the one that took effect. This clock goes on while the host is suspended.
+		r.sentAt = began
 		r.metrics.Committed(len(cm.Puts)+len(cm.Removes), now-began)
 		c.Stored(cm, now)
 	})
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -73,7 +73,7 @@
 	j := u.job
 	s := j.steps[u.occurrence][u.step]
 	s.left -= len(u.tasks)
-	c.times.learn(j, u.step, now-t.startedAt, t.startPercent)
+	c.times.learn(j, now-t.startedAt, t.startPercent)
 	if s.left > 0 || j.ending() {
 		return
 	}
--- a/internal/dispatch/system_test.go
+++ b/internal/dispatch/system_test.go
@@ -15,8 +15,10 @@
 	"samphirewell/internal/rowstore/memstore"
 )
 
-var testBounds = Bounds{LeaseMax: 6 * time.Second, StopMax: 200 * time.Millisecond, FarFactor: 3, GangWait: 3 * time.Second,
-	DrainLimit: 2 * time.Second, Checkpoint: 2 * time.Second}
+var testBounds = Bounds{LeaseMax: 6 * time.Second, StopMax: 200 * time.Millisecond}
+
+// testGangWait is the time after which a member of a gang ends if the others don't come.
+const testGangWait = 3 * time.Second
 
 var testKey = rowstore.Key{Table: TableStates, Part: Part, Key: LeaderKey}
 
--- a/internal/dispatch/times.go
+++ b/internal/dispatch/times.go
@@ -5,12 +5,15 @@
 // learnWeight is the weight of a new observation in the mean run time.
 const learnWeight = 0.2
 
+// halfDone is the progress, in percent, beyond which a run that went on from a checkpoint says little about a whole one.
+const halfDone = 50
+
 // runTimes holds the mean run time of whole tasks by queue.
 type runTimes map[string]time.Duration
 
-// learn takes a run into account that began from nothing.
-func (r runTimes) learn(j *job, step int, took time.Duration, startPercent int) {
-	if took <= 0 || startPercent > 50 {
+// learn takes a finished run into account, unless it went on from far along.
+func (r runTimes) learn(j *job, took time.Duration, startPercent int) {
+	if took <= 0 || startPercent > halfDone {
 		return
 	}
 	old, ok := r[j.Queue.Name]
@@ -19,7 +22,6 @@
 		return
 	}
 	r[j.Queue.Name] = old + time.Duration(learnWeight*float64(took-old))
-	_ = step
 }
 
 // expect returns the expected run time of a task of a step.
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -139,16 +139,6 @@
 	c.idle[address] = append(c.idle[address], cn)
 }
 
-// Forget closes the kept connections to an address.
-func (c *Client) Forget(address string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, cn := range c.idle[address] {
-		_ = cn.Close()
-	}
-	delete(c.idle, address)
-}
-
 // roundTrip sends the call and reads the answer; keep tells whether the connection can carry another call.
 func (cn *conn) roundTrip(r Request) (resp Response, keep bool, err error) {
 	var b bytes.Buffer
--- a/internal/lead/session.go
+++ b/internal/lead/session.go
@@ -51,8 +51,6 @@
 	key     rowstore.Key
 	row     Row
 	version uint64
-	// Sent is when the newest successful transaction was sent.
-	Sent time.Time
 	// Refused is set while the store refuses the present transaction. It may be read from other goroutines.
 	Refused atomic.Bool
 }
@@ -79,9 +77,6 @@
 // Epoch returns the leader's fencing token.
 func (l *Session) Epoch() uint64 { return l.row.Epoch }
 
-// Version returns the version of the newest transaction.
-func (l *Session) Version() uint64 { return l.version }
-
 // Commit stores rows under the condition that the host still leads. It repeats the transaction until its result is known. Every
 // transaction changes the leader row, so an earlier one of unknown result can't take effect after a later one.
 func (l *Session) Commit(ctx context.Context, puts []rowstore.Row, removes []rowstore.Key) error {
@@ -107,12 +102,11 @@
 		Puts: append([]rowstore.Row{{Key: l.key, Value: value}}, puts...), Removes: removes}
 	pause := retryMin
 	for {
-		sent := time.Now()
 		done, err := l.try(ctx, tx, row)
 		l.Refused.Store(errors.Is(err, rowstore.ErrNotDone))
 		if done || errors.Is(err, ErrDeposed) {
 			if done {
-				l.row, l.Sent = row, sent
+				l.row = row
 			}
 			return err
 		}
