--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -16,10 +16,12 @@
 	maxReservations = 2
 	// victimCost is added to the lost work of each stopped unit, in core-seconds, so that few victims are preferred to many.
 	victimCost = 20
-	// urgentLossWeight is the weight of lost work of the first two classes relative to the others; the users value an hour of it about twice as much.
-	urgentLossWeight = 2
 )
 
+// lossWeights weigh lost work by priority relative to all others. The users value an hour of urgent work five to ten times as much as one of the
+// lowest class, and one of the middle class twice as much.
+var lossWeights = [...]float64{8, 2}
+
 // Worker is a worker of the service that is planned for.
 type Worker struct {
 	ID       string
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -71,8 +71,8 @@
 // cost is what stopping the run costs, in core-seconds. Work of a more urgent class counts more.
 func (r *Run) cost() float64 {
 	weight := 1.0
-	if r.Priority <= 1 {
-		weight = urgentLossWeight
+	if r.Priority < len(lossWeights) {
+		weight = lossWeights[r.Priority]
 	}
 	return weight*r.Loss + victimCost
 }
