--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	$(GOLANGCI) run ./...
 
 fmt-check:
-	@test -z "$$(gofmt -l cmd internal)" || { gofmt -l cmd internal; exit 1; }
+	@test -z "$$(gofmt -l cmd internal platform)" || { gofmt -l cmd internal platform; exit 1; }
 
 generate:
 	@for s in $(SCHEMAS); do \
--- a/internal/httpserve/httpserve_test.go
+++ b/internal/httpserve/httpserve_test.go
@@ -21,14 +21,15 @@
 	return s
 }
 
-func post(s *Server, body string) (*http.Response, string, error) {
+// post returns the text of the answer, and whether the server asked to close the connection.
+func post(s *Server, body string) (text string, closes bool, err error) {
 	resp, err := http.Post("http://"+s.Addr()+"/p", "application/json", strings.NewReader(body))
 	if err != nil {
-		return nil, "", err
+		return "", false, err
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	return resp, string(data), err
+	return string(data), resp.Close, err
 }
 
 // Guards against a stop that cuts a request that is being served, and against callers that stay on a leaving host.
@@ -41,16 +42,16 @@
 	})
 	type result struct {
 		text   string
-		closed bool
+		closes bool
 		err    error
 	}
 	results := make(chan result, 1)
+	s.Leave()
 	go func() {
-		resp, text, err := post(s, "x")
-		results <- result{text, resp != nil && resp.Close, err}
+		text, closes, err := post(s, "x")
+		results <- result{text, closes, err}
 	}()
 	<-entered
-	s.Leave()
 	stopped := make(chan error, 1)
 	go func() { stopped <- s.Stop(context.Background()) }()
 	time.Sleep(20 * time.Millisecond)
@@ -58,6 +59,7 @@
 	r := <-results
 	must.NoError(t, r.err)
 	must.Eq(t, "whole", r.text)
+	must.True(t, r.closes)
 	must.NoError(t, <-stopped)
 }
 
@@ -88,7 +90,7 @@
 		_, _ = io.Copy(io.Discard, conn)
 		must.NoError(t, conn.Close())
 	}
-	_, text, err := post(s, "x")
+	text, _, err := post(s, "x")
 	must.NoError(t, err)
 	must.Eq(t, "ok", text)
 	must.NoError(t, s.Stop(context.Background()))
