Check the order of steps by what has ended, not by what is still listed

Cause: the property test's check asked whether the end of a predecessor was acknowledged or is still listed. Change: the check keeps every end as done for good. The program is unchanged.

--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -54,6 +54,7 @@
 	loss    float64 // share of orders whose answer is lost
 	delayed float64 // share of orders that are carried out late without an answer
 
+	everDone  map[string]bool          // tasks that have ended as done, whether or not their worker still lists that
 	doneAcked map[string]time.Duration // tasks whose done end was acknowledged
 	failures  map[string]int           // acknowledged failures by task or gang
 	cancelled map[string]bool
@@ -65,7 +66,7 @@
 
 func newFleet(seed uint64, racks, perRack int) *fakeFleet {
 	f := &fakeFleet{rng: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*fakeWorker{}, jobs: map[string]batch.Job{}, poison: map[string]bool{},
-		doneAcked: map[string]time.Duration{}, begun: map[string]time.Duration{}, failures: map[string]int{}, cancelled: map[string]bool{}, calm: true}
+		doneAcked: map[string]time.Duration{}, everDone: map[string]bool{}, begun: map[string]time.Duration{}, failures: map[string]int{}, cancelled: map[string]bool{}, calm: true}
 	for r := range racks {
 		for i := range perRack {
 			f.addWorker(fmt.Sprintf("w%d-%d", r, i), fmt.Sprintf("rack-%d", r))
@@ -222,7 +223,7 @@
 	for _, a := range step.After {
 		for i := range j.Steps[a].Tasks {
 			before := batch.TaskID{Job: id.Job, Step: a, Index: i}
-			if _, acked := f.doneAcked[f.unitOf(before)]; !acked && !f.endedDone(before) {
+			if !f.everDone[f.unitOf(before)] {
 				f.fail("start of %s before %s was done", o.Task, before)
 			}
 		}
@@ -232,18 +233,6 @@
 	}
 }
 
-func (f *fakeFleet) endedDone(id batch.TaskID) bool {
-	for _, w := range f.workers {
-		for _, e := range w.ended {
-			t, _ := batch.ParseTaskID(e.Task)
-			if e.Kind == EndDone && f.unitOf(t) == f.unitOf(id) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // unitOf names the gang or task.
 func (f *fakeFleet) unitOf(id batch.TaskID) string {
 	if f.jobs[id.Job].Steps[id.Step].Gang {
@@ -259,6 +248,10 @@
 		id, _ := batch.ParseTaskID(name)
 		w.fleet.wasted += (w.fleet.now - r.begun).Seconds() * float64(w.fleet.jobs[id.Job].Steps[id.Step].Need.Accelerators)
 	}
+	if k == EndDone {
+		id, _ := batch.ParseTaskID(name)
+		w.fleet.everDone[w.fleet.unitOf(id)] = true
+	}
 	w.highest[name] = max(w.highest[name], r.run)
 	w.count++
 	w.ended = append(w.ended, EndReport{N: w.count, Task: name, Run: r.run, Kind: k})
