--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,11 +43,12 @@
 
 	mu      sync.Mutex
 	samples []sample
+	running map[chan struct{}]struct{} // closed when the call ends
 }
 
 func startLoad(d deployment, url string) (*load, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &load{deployment: d, cancel: cancel}
+	l := &load{deployment: d, cancel: cancel, running: map[chan struct{}]struct{}{}}
 	for i := range d.Traffic {
 		t := &d.Traffic[i]
 		var clients []*client.Client
@@ -79,6 +82,8 @@
 }
 
 func (l *load) call(t *traffic, c *client.Client, n int) {
+	ended := l.begin()
+	defer l.end(ended)
 	s := sample{traffic: t, key: fmt.Sprintf("%s-%d", t.Method, n), body: fmt.Appendf(nil, `{"item":%d,"of":%q}`, n, t.Method), start: time.Now()}
 	time.Sleep(l.deployment.ClientLatency)
 	s.outcome = c.Call(context.Background(), client.Call{
@@ -91,6 +96,31 @@
 	l.mu.Unlock()
 }
 
+func (l *load) begin() chan struct{} {
+	ended := make(chan struct{})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running[ended] = struct{}{}
+	return ended
+}
+
+func (l *load) end(ended chan struct{}) {
+	l.mu.Lock()
+	delete(l.running, ended)
+	l.mu.Unlock()
+	close(ended)
+}
+
+// awaitBegun waits until every call that has begun is over. A fault that follows then touches none of them.
+func (l *load) awaitBegun() {
+	l.mu.Lock()
+	begun := slices.Collect(maps.Keys(l.running))
+	l.mu.Unlock()
+	for _, ended := range begun {
+		<-ended
+	}
+}
+
 // stop ends the arrivals, waits for the calls and returns all samples.
 func (l *load) stop() []sample {
 	l.cancel()
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -60,6 +60,7 @@
 	progress   io.Writer
 	start      time.Time
 	client     *client.Client
+	load       *load
 	parts      map[string]int // job id -> parts, of the submitted jobs
 	checks     []check
 	stopFrom   time.Time
@@ -86,8 +87,7 @@
 	if err := r.warmUp(ctx); err != nil {
 		return nil, err
 	}
-	l, err := startLoad(d, r.system.balancer.URL())
-	if err != nil {
+	if r.load, err = startLoad(d, r.system.balancer.URL()); err != nil {
 		return nil, err
 	}
 	from := time.Now()
@@ -95,12 +95,12 @@
 	time.Sleep(healthyTime)
 	for _, phase := range []func(context.Context) error{r.stopOne, r.killOne, r.cutDomain, r.drainExecutor, r.changeLists, r.claim} {
 		if err := phase(ctx); err != nil {
-			l.stop()
+			r.load.stop()
 			return nil, err
 		}
 	}
 	time.Sleep(settleTime)
-	samples := l.stop()
+	samples := r.load.stop()
 	r.say("checking %d calls and %d jobs", len(samples), len(r.parts))
 	r.checks = append(r.checks, checkCalls(d.Service, samples, runsByKey(r.system.executors))...)
 	r.checks = append(r.checks, checkWorkers(r.system.workers, r.parts, time.Now())...)
@@ -180,6 +180,7 @@
 	r.stopErr = r.system.stopHost(ctx, id)
 	r.stopTo = time.Now()
 	r.say("entry host %s stopped after %d ms", id, r.stopTo.Sub(r.stopFrom).Milliseconds())
+	r.load.awaitBegun() // the next phase kills a host, which may cut calls
 	_, err := r.system.startHost(r.system.lists.FailureDomains[0])
 	return err
 }
