--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -14,6 +14,7 @@
 	"samphirewell/internal/clock"
 	"samphirewell/internal/config"
 	"samphirewell/internal/jobs"
+	"samphirewell/internal/timeline"
 )
 
 // Lengths of the phases.
@@ -250,11 +251,27 @@
 	r.client = balanced
 	c := check{Promise: "a guaranteed shape is reclaimed and started within 4.5 s"}
 	c.expect(ok && took <= claimBound, "job %s started after %v", job.ID, took)
+	if c.Violations > 0 {
+		r.sayTimeline(job.ID, submitted)
+	}
 	r.checks = append(r.checks, c)
 	r.say("guaranteed gang of %d parts started after %d ms", d.Claim.Parts, took.Milliseconds())
 	return nil
 }
 
+// sayTimeline prints what the hosts recorded about a job and about themselves since a moment.
+func (r *runner) sayTimeline(jobID string, since time.Time) {
+	var pages []api.TimelinePage
+	for _, h := range r.system.snapshotHosts() {
+		pages = append(pages, h.Ring().Page(1, timeline.DefaultCapacity))
+	}
+	for _, e := range timeline.Merge(pages, nil, timeline.Filter{FromMs: int(since.UnixMilli())}).Events {
+		if e.JobID == jobID || e.JobID == "" || e.Kind == api.EventKindGangRestarted {
+			r.say("%s", timeline.Line(e))
+		}
+	}
+}
+
 // running waits until the job has started and returns the time since its submission.
 func (r *runner) running(ctx context.Context, job api.JobRecord, submitted time.Time) (time.Duration, bool) {
 	for time.Since(submitted) < claimLimit {
