--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -108,15 +108,32 @@
 	return j.Schedule.FirstMS + int64(occurrence)*j.Schedule.IntervalMS
 }
 
+// Bounds of a job. A leader keeps some hundred bytes of each task, and a host has 256 MB: a few jobs of the largest size fit.
+const (
+	MaxTasks       = 50_000  // of a job's steps together
+	MaxOccurrences = 100_000 // times the number of steps
+)
+
 // Check returns what is wrong with the steps of a submitted job, or an empty string.
 func (j *Job) Check() string {
 	if len(j.Steps) == 0 {
 		return "a job needs at least one step"
 	}
+	if j.Occurrences() < 1 || j.Occurrences() > MaxOccurrences/len(j.Steps) {
+		return fmt.Sprintf("%d occurrences of %d steps are out of bounds", j.Occurrences(), len(j.Steps))
+	}
+	tasks := 0
 	for i, s := range j.Steps {
 		if s.Tasks < 1 {
 			return fmt.Sprintf("step %d has no tasks", i)
 		}
+		if s.Tasks > MaxTasks-tasks {
+			return fmt.Sprintf("a job has at most %d tasks", MaxTasks)
+		}
+		tasks += s.Tasks
+		if n := s.Need; n.MilliCores < 0 || n.MemoryMB < 0 || n.Accelerators < 0 {
+			return fmt.Sprintf("step %d needs a negative amount", i)
+		}
 		for _, a := range s.After {
 			if a < 0 || a >= i {
 				return fmt.Sprintf("step %d depends on step %d, which is not an earlier one", i, a)
--- a/internal/batch/policy.go
+++ b/internal/batch/policy.go
@@ -16,7 +16,14 @@
 	Stretch  float64       `json:"stretch"` // the objective of a job is Stretch times its longest chain of work plus Target
 	Target   time.Duration `json:"target"`
 	Public   bool          `json:"-"` // needs no key
-	Advised  bool          `json:"advised,omitempty"`
+	Advice   *Advice       `json:"advice,omitempty"` // nil if every worker may run the queue's tasks
+}
+
+// Advice says what it costs to ask the adviser which workers may run a step.
+type Advice struct {
+	Decide time.Duration `json:"decide"` // of each question
+	Each   time.Duration `json:"each"`   // of each worker that a question names
+	Valid  time.Duration `json:"valid"`  // of a ticket
 }
 
 // Service is a pool of workers.
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -11,8 +11,10 @@
 )
 
 const (
-	// adviceWorkers is the number of workers that one question names; each takes the adviser time.
-	adviceWorkers = 30
+	// adviceMost and adviceLeast bound the workers that one question names. The adviser takes no more than 100, and fewer than the least
+	// often allow none.
+	adviceMost  = 100
+	adviceLeast = 12
 	// adviceRetry is the pause after a question without an answer.
 	adviceRetry = 300 * time.Millisecond
 	// ticketMargin is the rest of a ticket's validity at which it is no longer used, for the time that a start takes.
@@ -48,12 +50,23 @@
 	asked   bool // a question is under way
 }
 
-// isAdvised reports whether the workers of a job need a ticket.
-func (c *Core) isAdvised(j *job) bool {
+// adviceOf returns what a question about a job costs; nil if its workers need no ticket.
+func (c *Core) adviceOf(j *job) *batch.Advice {
 	if q, ok := c.policy.Queue(j.Queue.Name); ok {
-		return q.Advised
+		return q.Advice
 	}
-	return j.Queue.Advised
+	return j.Queue.Advice
+}
+
+func (c *Core) isAdvised(j *job) bool { return c.adviceOf(j) != nil }
+
+// questionSize returns how many workers a question names: as many as take the adviser as long as the question itself. Fewer would pay for
+// the question more often, more would keep the others waiting for workers that aren't needed.
+func questionSize(a *batch.Advice) int {
+	if a.Each <= 0 {
+		return adviceMost
+	}
+	return min(max(adviceLeast, int(a.Decide/a.Each)), adviceMost)
 }
 
 // allowedOn returns the workers of a plan for which a valid ticket is known; nil if none is needed.
@@ -89,6 +102,11 @@
 	return text
 }
 
+// HasQuestions reports whether the workers of some live job need tickets.
+func (c *Core) HasQuestions() bool {
+	return !c.freeze && slices.ContainsFunc(c.live, c.isAdvised)
+}
+
 // NextQuestion returns a question for the waiting step that is served next; false if there is none. The adviser serves each host in
 // turn, so each of the askers, by address, has one question under way at most.
 func (c *Core) NextQuestion(now time.Duration, askers []string) (Question, bool) {
@@ -168,7 +186,7 @@
 	})
 	id := batch.TaskID{Job: j.ID, Occurrence: k, Step: i}.String()
 	q := Question{Step: id[:len(id)-len(".0")], step: s, boots: map[string]int64{}}
-	for _, w := range candidates[:min(adviceWorkers, len(candidates))] {
+	for _, w := range candidates[:min(questionSize(c.adviceOf(j)), len(candidates))] {
 		q.Workers = append(q.Workers, w.ID)
 		q.boots[w.ID] = w.Boot
 	}
@@ -200,5 +218,5 @@
 	}
 	c.dirty = true
 	c.log.WithFields(logrus.Fields{"epoch": c.epoch, "step": q.Step, "asked": len(q.Workers), "allowed": len(a.Tickets), "valid_ms": a.Valid.Milliseconds()}).
-		Debug("advice on a step")
+		Info("advice on a step")
 }
