--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -52,7 +52,6 @@
 	Processors float64
 	Store      rowstore.Store
 	Peers      Peers
-	OtherHosts func() []string // addresses of some other hosts
 	Sources    Sources
 	Links      dispatch.Links
 	Bounds     dispatch.Bounds
@@ -78,6 +77,7 @@
 	intake  *intake.Intake
 	watch   *lead.Watch
 	states  *rowstore.Follower
+	hosts   hostList
 
 	mu     sync.Mutex
 	runner *dispatch.Runner // while leading
@@ -107,13 +107,21 @@
 
 // Reset implements rowstore.Handler.
 func (s stateRows) Reset(rows []rowstore.Row) {
-	s.h.watch.Observe(rows, true, time.Now())
+	s.observe(rows, true)
 	s.h.intake.States().Reset(rows)
 }
 
+func (s stateRows) observe(rows []rowstore.Row, whole bool) {
+	now := time.Now()
+	s.h.watch.Observe(rows, whole, now)
+	if err := s.h.hosts.observe(rows, whole, now); err != nil {
+		s.h.options.Log.WithError(err).Error("list of hosts")
+	}
+}
+
 // Changed implements rowstore.Handler.
 func (s stateRows) Changed(rows []rowstore.Row) {
-	s.h.watch.Observe(rows, false, time.Now())
+	s.observe(rows, false)
 	s.h.intake.States().Changed(rows)
 }
 
@@ -123,6 +131,7 @@
 	defer group.Wait()
 	group.Go(func() { h.states.Run(serve) })
 	group.Go(func() { h.options.Sources.FollowPolicy(serve, h.setPolicy) })
+	group.Go(func() { h.register(serve) })
 	h.leadLoop(leading)
 }
 
@@ -190,7 +199,7 @@
 		return err
 	}
 	r := dispatch.NewRunner(core, session, adviceLinks{h.options.Links, h.options.Peers}, h.options.Clock, h.options.Metrics, h.options.Log)
-	r.SetAskers(h.options.OtherHosts())
+	r.SetAskers(h.OtherHosts)
 	h.setRunner(r, session.Epoch())
 	// A configuration that came while the core was restored has not reached it.
 	r.Do(func(c *dispatch.Core, _ time.Duration) { c.SetPolicy(h.intake.Policy()) })
@@ -349,6 +358,7 @@
 		for _, id := range forgotten {
 			h.tidy(ctx, intake.ForgetJob(id), nil, id)
 		}
+		h.forgetHosts(ctx)
 	}
 }
 
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -55,7 +55,7 @@
 	clock   Clock
 	log     logrus.FieldLogger
 	metrics Metrics
-	askers  []string // addresses of hosts that may ask the adviser; empty for this one
+	others  func() []string // addresses of other hosts that may ask the adviser
 
 	kick      chan struct{}
 	holders   map[string]chan struct{} // wakes the goroutine that reads a worker
@@ -76,11 +76,11 @@
 // NewRunner returns a runner of a core that was just restored.
 func NewRunner(core *Core, s *lead.Session, l Links, c Clock, m Metrics, log logrus.FieldLogger) *Runner {
 	return &Runner{core: core, session: s, links: l, clock: c, metrics: m, log: log, kick: make(chan struct{}, 1),
-		holders: map[string]chan struct{}{}, askers: []string{""}, sentAt: c.SinceBoot()}
+		holders: map[string]chan struct{}{}, others: func() []string { return nil }, sentAt: c.SinceBoot()}
 }
 
-// SetAskers names the hosts that may put questions to the adviser, by address. It must be called before Run.
-func (r *Runner) SetAskers(addresses []string) { r.askers = append([]string{""}, addresses...) }
+// SetAskers sets the function that names other hosts that may put questions to the adviser, by address. It must be called before Run.
+func (r *Runner) SetAskers(others func() []string) { r.others = others }
 
 // Do changes the core and lets the runner act on it.
 func (r *Runner) Do(f func(c *Core, now time.Duration)) {
@@ -160,13 +160,7 @@
 		}
 	}
 	r.sendOrders(ctx, group, now)
-	for {
-		q, ok := r.core.NextQuestion(now, r.askers)
-		if !ok {
-			break
-		}
-		group.Go(func() { r.ask(ctx, q) })
-	}
+	r.sendQuestions(ctx, group, now)
 	r.startHolders(ctx, group)
 	return wait
 }
@@ -210,6 +204,21 @@
 	})
 }
 
+// sendQuestions lets this host and the others ask the adviser, which serves each of them in turn.
+func (r *Runner) sendQuestions(ctx context.Context, group *sync.WaitGroup, now time.Duration) {
+	if !r.core.HasQuestions() {
+		return
+	}
+	askers := append([]string{""}, r.others()...)
+	for {
+		q, ok := r.core.NextQuestion(now, askers)
+		if !ok {
+			return
+		}
+		group.Go(func() { r.ask(ctx, q) })
+	}
+}
+
 // ask puts one question to the adviser.
 func (r *Runner) ask(ctx context.Context, q Question) {
 	sent := r.clock.SinceBoot()
