--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -19,16 +19,18 @@
 
 // Lengths of the phases.
 const (
-	warmUpLimit  = 20 * time.Second // longest wait for the first answers
-	healthyTime  = 5 * time.Second
-	afterKill    = 5 * time.Second
-	cutTime      = 5 * time.Second
-	drainTime    = 4 * time.Second
-	claimLimit   = 10 * time.Second
-	settleTime   = 3 * time.Second
-	pollPeriod   = 20 * time.Millisecond
-	submitLimit  = 10 * time.Second
-	percentScale = 100
+	warmUpLimit = 20 * time.Second // longest wait for the first answers
+	healthyTime = 5 * time.Second
+	afterKill   = 5 * time.Second
+	cutTime     = 5 * time.Second
+	drainTime   = 4 * time.Second
+	claimLimit  = 10 * time.Second
+	settleTime  = 3 * time.Second
+	pollPeriod  = 20 * time.Millisecond
+	submitLimit = 10 * time.Second
+	// timelineBefore is how far before the submission the printed time line of a late claim begins.
+	timelineBefore = 10 * time.Second
+	percentScale   = 100
 )
 
 // Options select what Run does.
@@ -252,7 +254,8 @@
 	c := check{Promise: "a guaranteed shape is reclaimed and started within 4.5 s"}
 	c.expect(ok && took <= claimBound, "job %s started after %v", job.ID, took)
 	if c.Violations > 0 {
-		r.sayTimeline(job.ID, submitted)
+		r.sayTimeline(job.ID, submitted.Add(-timelineBefore))
+		r.sayExplanations(ctx, job.ID)
 	}
 	r.checks = append(r.checks, c)
 	r.say("guaranteed gang of %d parts started after %d ms", d.Claim.Parts, took.Milliseconds())
@@ -272,6 +275,24 @@
 	}
 }
 
+// sayExplanations prints what each host knows of why the job waited.
+func (r *runner) sayExplanations(ctx context.Context, jobID string) {
+	for id, h := range r.system.snapshotHosts() {
+		o, err := client.NewOperator(clock.Real{}, "http://"+h.OperatorAddr(), operatorToken)
+		var e api.JobExplanation
+		if err == nil {
+			err = o.Get(ctx, "/v1/explain/job/"+jobID, &e)
+		}
+		if err != nil {
+			r.say("%s doesn't explain: %v", id, err)
+			continue
+		}
+		for _, s := range e.History {
+			r.say("%s %s %s %s (%d times)", id, time.UnixMilli(int64(s.AtMS)).UTC().Format("15:04:05.000"), s.Phase, s.Reason, s.Times)
+		}
+	}
+}
+
 // running waits until the job has started and returns the time since its submission.
 func (r *runner) running(ctx context.Context, job api.JobRecord, submitted time.Time) (time.Duration, bool) {
 	for time.Since(submitted) < claimLimit {
--- a/internal/scheduler/plan.go
+++ b/internal/scheduler/plan.go
@@ -65,13 +65,13 @@
 
 func (s *state) placeClaim(p *pending) bool {
 	t := &s.teams[p.team]
-	if t.overLimit(p.Shape) {
-		return false
-	}
 	i := t.findSlot(p.Shape)
 	if i < 0 || t.slots[i].foot == nil {
 		return false
 	}
+	if t.overLimit(p.Shape) && !s.freeLimit(p) {
+		return false
+	}
 	sl := &t.slots[i]
 	if sl.exact(p.Shape) {
 		return s.claimExact(p, sl, i)
@@ -79,6 +79,30 @@
 	return s.claimInside(p, sl, i)
 }
 
+// freeLimit stops less urgent gangs of the claim's own team that borrow, those with the least lost work first, until the team's limit leaves room
+// for the claim. It reports false and stops nothing if that is not enough.
+func (s *state) freeLimit(p *pending) bool {
+	t := &s.teams[p.team]
+	missing := t.inUse + p.Shape.Accelerators() - t.AcceleratorLimit
+	var own []int32
+	for i := range s.gangs {
+		if g := &s.gangs[i]; g.team == p.team && g.borrows && !g.gone && g.Class > p.Class && g.Shape.Accelerators() > 0 {
+			own = append(own, int32(i))
+		}
+	}
+	slices.SortStableFunc(own, func(a, b int32) int { return cmp.Compare(s.gangs[a].lost, s.gangs[b].lost) })
+	for n, i := range own {
+		if missing -= s.gangs[i].Shape.Accelerators(); missing > 0 {
+			continue
+		}
+		for _, victim := range own[:n+1] {
+			s.preempt(victim, Reason{Code: ReclaimedBy, Other: p.ID})
+		}
+		return true
+	}
+	return false
+}
+
 // claimExact moves the footprint to free room if there is any, else to the room with the cheapest victims.
 func (s *state) claimExact(p *pending, sl *slot, i int) bool {
 	s.commit(sl, -1)
--- a/internal/scheduler/plan_test.go
+++ b/internal/scheduler/plan_test.go
@@ -86,6 +86,27 @@
 	must.Eq(t, Action{Kind: Place, JobID: "claim", Workers: []string{"w1"}, Slot: 0, Reason: Reason{Code: WithinGuarantee}}, d.Actions[1])
 }
 
+// Guards against a claim within a guarantee that waits because less urgent jobs of its own team use up the team's limit: the demo saw a claim
+// start after 8.4 s, when a background job of the team ended.
+func TestClaimTakesTheLimitFromLessUrgentJobsOfItsTeam(t *testing.T) {
+	own := func(id string, class Class, worker string) Running {
+		r := running(id, gpus(1, 8, SameWorker), time.Hour, time.Minute, worker)
+		r.Class = class
+		return r
+	}
+	snap := Snapshot{Now: testStart, Workers: testWorkers(4),
+		Teams:   []Team{{ID: "t", Weight: 1, AcceleratorLimit: 16, Guarantees: []Guarantee{{gpus(1, 8, SameWorker), 1}}}},
+		Running: []Running{own("normal", Normal, "w0"), own("batch", Batch, "w1")},
+		Waiting: []Waiting{waitingJob("claim", gpus(1, 8, SameWorker), Urgent, 0)}}
+	d := Plan(snap)
+	must.EqOp(t, Place, actionOf(d, "claim").Kind)
+	must.EqOp(t, Preempt, actionOf(d, "batch").Kind)
+	must.EqOp(t, 0, actionOf(d, "normal").Kind, must.Sprint("one of them is enough"))
+
+	snap.Waiting[0].Class = Batch
+	must.EqOp(t, OverLimit, actionOf(Plan(snap), "claim").Reason.Code, must.Sprint("jobs that are as urgent keep the limit"))
+}
+
 // Guards against a wrong estimate that delays a reserved job beyond MaxHold, and against preempting older work for it.
 func TestReservedJobStartsAtItsDeadline(t *testing.T) {
 	large := waitingJob("large", gpus(2, 8, SameRack), Batch, MaxPatience)
