--- a/internal/batch/policy.go
+++ b/internal/batch/policy.go
@@ -15,7 +15,7 @@
 	Attempts int           `json:"tries"`   // runs that may fail before the job does
 	Stretch  float64       `json:"stretch"` // the objective of a job is Stretch times its longest chain of work plus Target
 	Target   time.Duration `json:"target"`
-	Public   bool          `json:"-"` // needs no key
+	Public   bool          `json:"-"`                // needs no key
 	Advice   *Advice       `json:"advice,omitempty"` // nil if every worker may run the queue's tasks
 }
 
--- a/internal/batchhost/leader.go
+++ b/internal/batchhost/leader.go
@@ -8,7 +8,6 @@
 
 	"samphirewell/internal/api"
 	"samphirewell/internal/batch"
-	"samphirewell/internal/dispatch"
 	"samphirewell/internal/lead"
 	"samphirewell/internal/peer"
 )
@@ -16,8 +15,8 @@
 const (
 	// askTimeout bounds the question to the leader whether it lives; many round trips between regions.
 	askTimeout = 150 * time.Millisecond
-	// stateTimeout bounds the question for a state; the copy answers without it.
-	stateTimeout = 200 * time.Millisecond
+	// stateTimeout bounds the question for a state; the copy answers without it. A leader waits up to 300 ms for an end to be stored.
+	stateTimeout = 400 * time.Millisecond
 	// refusedLimit is the age of the last write at which a leader that the store refuses counts as lost, if the asking host is served.
 	refusedLimit = 600 * time.Millisecond
 )
@@ -27,8 +26,8 @@
 	methods[peer.MethodLeader] = peer.Handle(func(_ context.Context, _ api.HostIdentity, _ api.LeaderQuery) (api.LeaderStatus, error) {
 		return h.leaderStatus(), nil
 	})
-	methods[peer.MethodJobState] = peer.Handle(func(_ context.Context, _ api.HostIdentity, q api.JobStateQuery) (api.JobStateAnswer, error) {
-		return h.jobState(q.Job), nil
+	methods[peer.MethodJobState] = peer.Handle(func(ctx context.Context, _ api.HostIdentity, q api.JobStateQuery) (api.JobStateAnswer, error) {
+		return h.jobState(ctx, q.Job), nil
 	})
 	methods[peer.MethodAdvise] = peer.Handle(func(ctx context.Context, _ api.HostIdentity, q api.AdviceQuestion) (api.AdviceAnswer, error) {
 		return h.advise(ctx, q)
@@ -36,24 +35,20 @@
 }
 
 // jobState returns the state of a job as this host knows it as the leader.
-func (h *Host) jobState(id string) api.JobStateAnswer {
+func (h *Host) jobState(ctx context.Context, id string) api.JobStateAnswer {
 	h.mu.Lock()
 	r := h.runner
 	h.mu.Unlock()
 	if r == nil {
 		return api.JobStateAnswer{}
 	}
-	var a api.JobStateAnswer
-	r.Look(func(c *dispatch.Core, now time.Duration) {
-		queue, state, ok := c.JobState(id, now)
-		a = api.JobStateAnswer{Known: ok, Queue: queue, State: string(state)}
-	})
-	return a
+	s := r.JobState(ctx, id)
+	return api.JobStateAnswer{Known: s.Known, Queue: s.Queue, State: string(s.State)}
 }
 
 // AskState implements intake.Leader: it asks the leader for the state of a job. No answer is no error, since the copy of the stored states is there.
 func (h *Host) AskState(ctx context.Context, id string) (queue string, s batch.State, ok bool) {
-	a := h.jobState(id)
+	a := h.jobState(ctx, id)
 	if row, led := h.watch.Leader(); !a.Known && led && row.Host != h.options.HostID {
 		ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 		defer cancel()
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"samphirewell/internal/batch"
+	"samphirewell/internal/placement"
 )
 
 // Bounds are the limits that workers and operators set.
@@ -35,6 +36,10 @@
 type Core struct {
 	// budget returns the work that a unit may throw away to start now, in core-seconds.
 	budget func(u *unit, within bool, waited time.Duration) float64
+	// planner decides one cycle of a service.
+	planner func(placement.Input) placement.Decision
+	// runTime returns the expected run time of a task of a step.
+	runTime func(j *batch.Job, step int) time.Duration
 
 	epoch   uint64
 	bounds  Bounds
@@ -67,7 +72,7 @@
 func New(epoch uint64, policy *batch.Policy, bounds Bounds, log logrus.FieldLogger) *Core {
 	c := &Core{epoch: epoch, bounds: bounds, log: log, policy: policy, jobs: map[string]*job{}, ended: map[string]endedJob{},
 		workers: map[string]*worker{}, rows: rowQueue{marked: map[rowID]bool{}}, dirty: true, times: runTimes{}, asking: map[string]time.Duration{}}
-	c.budget = c.budgetOf
+	c.budget, c.planner, c.runTime = c.budgetOf, placement.Plan, c.times.expect
 	return c
 }
 
@@ -78,6 +83,12 @@
 	at    time.Duration // when the end was stored, or when this leader took over
 }
 
+// SetPlanner replaces the placement of tasks, for comparisons of policies.
+func (c *Core) SetPlanner(plan func(placement.Input) placement.Decision) { c.planner = plan }
+
+// SetRunTimes replaces the estimates of run times, for comparisons of policies.
+func (c *Core) SetRunTimes(expect func(j *batch.Job, step int) time.Duration) { c.runTime = expect }
+
 // Epoch returns the leader's epoch.
 func (c *Core) Epoch() uint64 { return c.epoch }
 
@@ -112,20 +123,28 @@
 	return out
 }
 
+// JobState is what the leader says about a job.
+type JobState struct {
+	Known   bool
+	Queue   string
+	State   batch.State
+	Storing bool // the job has ended and its end is about to be stored; State is that before the end
+}
+
 // JobState returns the state of a job. An end that isn't stored yet is told only when storing it takes long:
 // the workers that ran the tasks keep the proof until then.
-func (c *Core) JobState(id string, now time.Duration) (queue string, s batch.State, ok bool) {
+func (c *Core) JobState(id string, now time.Duration) JobState {
 	if e, over := c.ended[id]; over {
-		return e.queue, e.state, true
+		return JobState{Known: true, Queue: e.queue, State: e.state}
 	}
 	j := c.jobs[id]
 	if j == nil {
-		return "", "", false
+		return JobState{}
 	}
 	if j.state.Final() && now-j.endedAt < tellUnstored {
-		return j.Queue.Name, batch.Running, true
+		return JobState{Known: true, Queue: j.Queue.Name, State: batch.Running, Storing: true}
 	}
-	return j.Queue.Name, j.state, true
+	return JobState{Known: true, Queue: j.Queue.Name, State: j.state}
 }
 
 // TakeForgotten returns the ids of jobs whose state is no longer kept.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -108,7 +108,7 @@
 		perPercent := float64(t.percentAt-t.startedAt) / float64(gained)
 		return time.Duration(float64(100-t.percent)*perPercent) - (now - t.percentAt)
 	}
-	return max(0, c.times.expect(t.unit.job, t.unit.step)-ran)
+	return max(0, c.runTime(&t.unit.job.Job, t.unit.step)-ran)
 }
 
 // NeedsPlan reports whether Plan may have something to decide.
@@ -206,7 +206,7 @@
 	use := urgentUse(in.workers)
 	c.demand.record(now, use, usableRoom(in.Workers))
 	in.Keep = c.demand.keep(use)
-	d := placement.Plan(in.Input)
+	d := c.planner(in.Input)
 	for _, i := range d.Stops {
 		c.stopUnit(in.runs[i], now, "preempted")
 	}
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -58,6 +58,7 @@
 	others  func() []string // addresses of other hosts that may ask the adviser
 
 	kick      chan struct{}
+	stored    chan struct{}            // closed at the next successful transaction
 	holders   map[string]chan struct{} // wakes the goroutine that reads a worker
 	sentAt    time.Duration            // sending of the newest successful transaction
 	failed    error
@@ -75,7 +76,7 @@
 
 // NewRunner returns a runner of a core that was just restored.
 func NewRunner(core *Core, s *lead.Session, l Links, c Clock, m Metrics, log logrus.FieldLogger) *Runner {
-	return &Runner{core: core, session: s, links: l, clock: c, metrics: m, log: log, kick: make(chan struct{}, 1),
+	return &Runner{core: core, session: s, links: l, clock: c, metrics: m, log: log, kick: make(chan struct{}, 1), stored: make(chan struct{}),
 		holders: map[string]chan struct{}{}, others: func() []string { return nil }, sentAt: c.SinceBoot()}
 }
 
@@ -90,11 +91,26 @@
 	r.wake()
 }
 
-// Look reads the core.
-func (r *Runner) Look(f func(c *Core, now time.Duration)) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	f(r.core, r.clock.SinceBoot())
+// JobState returns the state of a job. It waits for an end that is about to be stored: callers ask again only after some hundred milliseconds, and a lost
+// question costs them much longer.
+func (r *Runner) JobState(ctx context.Context, id string) JobState {
+	for {
+		r.mu.Lock()
+		state, stored := r.core.JobState(id, r.clock.SinceBoot()), r.stored
+		r.mu.Unlock()
+		if !state.Storing {
+			return state
+		}
+		timer := time.NewTimer(tellUnstored)
+		select {
+		case <-stored:
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return state
+		}
+		timer.Stop()
+	}
 }
 
 // WriteAge returns the time since the sending of the newest successful write, and whether the store refuses the present one.
@@ -395,6 +411,8 @@
 		r.sentAt = began
 		r.metrics.Committed(len(cm.Puts)+len(cm.Removes), now-began)
 		c.Stored(cm, now)
+		close(r.stored)
+		r.stored = make(chan struct{})
 	})
 	return nil
 }
--- /dev/null
+++ b/internal/dispatch/runner_test.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"samphirewell/internal/batch"
+	"samphirewell/internal/lead"
+	"samphirewell/internal/rowstore"
+	"samphirewell/internal/rowstore/memstore"
+)
+
+type noMetrics struct{}
+
+func (noMetrics) Committed(int, time.Duration)         {}
+func (noMetrics) Planned(time.Duration)                {}
+func (noMetrics) Ordered(Order, Result, time.Duration) {}
+
+type realClock struct{ start time.Time }
+
+func (c realClock) SinceBoot() time.Duration { return time.Since(c.start) }
+func (realClock) WallMS() int64              { return time.Now().UnixMilli() }
+
+// endedRunner returns a runner with a job whose only task has ended, and whose end isn't stored yet.
+func endedRunner(t *testing.T) *Runner {
+	store := memstore.New()
+	session, err := lead.Claim(context.Background(), store, testKey, rowstore.Row{}, lead.Row{Host: "h", Boot: "a"})
+	must.NoError(t, err)
+	core := New(session.Epoch(), testPolicy(), testBounds, quietLog())
+	r := NewRunner(core, session, nil, realClock{time.Now()}, noMetrics{}, quietLog())
+	w := batch.Worker{ID: "w", Service: "svc", Address: "a:1", Boot: 1, Capacity: batch.Room{MilliCores: 8000, MemoryMB: 8000, Accelerators: 8}}
+	r.Do(func(c *Core, now time.Duration) {
+		c.SetWorkers([]batch.Worker{w}, now)
+		c.OnReport("w", Report{Boot: 1, Clock: time.Second}, now, now)
+		c.AddJob(simpleJob("j", "urgent", 0, 1, batch.Room{MilliCores: 1, Accelerators: 1}), now)
+		c.Plan(now)
+	})
+	must.NoError(t, r.commit(context.Background(), false))
+	r.Do(func(c *Core, now time.Duration) {
+		orders := c.TakeOrders()
+		must.SliceLen(t, 1, orders)
+		c.OnStart(orders[0], Accepted, now)
+		c.OnReport("w", Report{Boot: 1, Clock: 2 * time.Second, Ended: []EndReport{{N: 1, Task: orders[0].Task, Run: 1, Kind: EndDone}}}, now, now)
+	})
+	return r
+}
+
+// Guards against telling a caller that a job still runs while its end is being stored: the caller asks again 250 ms later, which made urgent jobs late that
+// had ended in time.
+func TestStateWaitsForAnEndThatIsBeingStored(t *testing.T) {
+	r := endedRunner(t)
+	answers := make(chan JobState, 1)
+	go func() { answers <- r.JobState(context.Background(), "j") }()
+	select {
+	case s := <-answers:
+		t.Fatalf("told %v before the end was stored", s)
+	case <-time.After(20 * time.Millisecond):
+	}
+	must.NoError(t, r.commit(context.Background(), false))
+	must.Eq(t, JobState{Known: true, Queue: "urgent", State: batch.Completed}, <-answers)
+}
+
+// Guards against a caller that waits for a table that doesn't answer.
+func TestStateDoesNotWaitForLong(t *testing.T) {
+	r := endedRunner(t)
+	began := time.Now()
+	must.Eq(t, JobState{Known: true, Queue: "urgent", State: batch.Completed}, r.JobState(context.Background(), "j"))
+	must.Between(t, tellUnstored, time.Since(began), 10*tellUnstored)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+	defer cancel()
+	must.Eq(t, batch.Running, endedRunner(t).JobState(ctx, "j").State, must.Sprint("the caller gives up first"))
+}
--- a/internal/dispatch/system_test.go
+++ b/internal/dispatch/system_test.go
@@ -236,9 +236,8 @@
 	s.submit(simpleJob("j", "batch", 2, 1, smallRoom))
 	s.run(10 * time.Second)
 	must.Eq(t, batch.Completed, s.state("j"))
-	_, told, ok := s.leaders[0].core.JobState("j", s.fleet.now)
-	must.True(t, ok, must.Sprint("the leader must know ended jobs, or hosts show an older state"))
-	must.Eq(t, batch.Completed, told)
+	told := s.leaders[0].core.JobState("j", s.fleet.now)
+	must.Eq(t, JobState{Known: true, Queue: "batch", State: batch.Completed}, told, must.Sprint("the leader must know ended jobs, or hosts show an older state"))
 	s.fleet.now += 5 * time.Minute
 	s.leaders[0].sentAt = s.fleet.now
 	s.run(time.Second)
--- a/internal/dispatch/times.go
+++ b/internal/dispatch/times.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"samphirewell/internal/batch"
+)
 
 // learnWeight is the weight of a new observation in the mean run time.
 const learnWeight = 0.2
@@ -25,7 +29,7 @@
 }
 
 // expect returns the expected run time of a task of a step.
-func (r runTimes) expect(j *job, step int) time.Duration {
+func (r runTimes) expect(j *batch.Job, step int) time.Duration {
 	if t, ok := r[j.Queue.Name]; ok {
 		return t
 	}
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -30,14 +30,14 @@
 	if within && waited > patience {
 		return math.Inf(1)
 	}
-	own := float64(len(u.tasks)) * u.spec().Need.CoreEquivalents() * c.times.expect(u.job, u.step).Seconds()
+	own := float64(len(u.tasks)) * u.spec().Need.CoreEquivalents() * c.runTime(&u.job.Job, u.step).Seconds()
 	return claimBudget * own * (1 + waited.Seconds())
 }
 
 // inTime reports whether the job of a unit that starts now is expected to meet its objective.
 func (c *Core) inTime(u *unit) bool {
 	j := u.job
-	chain := c.times.expect(j, u.step)
+	chain := c.runTime(&j.Job, u.step)
 	objective := time.Duration(j.Queue.Stretch*float64(chain)) + j.Queue.Target
 	return c.now-j.known+chain <= objective
 }
