--- /dev/null
+++ b/internal/bench/fleetmodel/fleetmodel_test.go
@@ -0,0 +1,104 @@
+package fleetmodel
+
+import (
+	"bytes"
+	"encoding/xml"
+	"io"
+	"os"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func load(t *testing.T, name string) Scenario {
+	text, err := os.ReadFile("../../../examples/fleet/" + name + ".json")
+	must.NoError(t, err)
+	s, err := ParseScenario(text)
+	must.NoError(t, err)
+	return s
+}
+
+// Guards against comparisons on unequal arrivals, and against results that change from run to run.
+func TestPlaysAreReproducible(t *testing.T) {
+	s := load(t, "orchards-heavy")
+	s.LengthS, s.SettleS = 8, 4
+	must.Eq(t, s.arrivals(3), s.arrivals(3))
+	must.NotEq(t, s.arrivals(3), s.arrivals(4))
+	for _, p := range Policies() {
+		a, b := s.play(3, p), s.play(3, p)
+		a.Plan, b.Plan = 0, 0 // processor time
+		must.Eq(t, a, b, must.Sprint(p.Name))
+	}
+}
+
+// Guards against a policy that serves urgent work no better than the field's simple ones on the users' heaviest hours: its worst times to completion
+// have to be 30% lower, and it has to earn more in all.
+func TestProductServesUrgentWorkBetterThanTheBaselines(t *testing.T) {
+	if testing.Short() {
+		t.Skip("takes several seconds")
+	}
+	s := load(t, "blue-mahoe-heavy")
+	r, err := Experiment{Scenario: s, Policies: []string{"product", "fcfs-first-fit", "best-fit-backfill"}, Seeds: 3, First: 1, Parallel: 2}.Run()
+	must.NoError(t, err)
+	_, p99, ok := r.Urgent("product")
+	must.True(t, ok)
+	product, _ := r.Outcome("product")
+	worth := product.Of(func(x Result) float64 { return x.Worth }).Mean
+	for _, baseline := range []string{"fcfs-first-fit", "best-fit-backfill"} {
+		_, other, _ := r.Urgent(baseline)
+		must.LessEq(t, 0.7*other.Mean, p99.Mean, must.Sprint(baseline))
+		o, _ := r.Outcome(baseline)
+		must.Less(t, worth, o.Of(func(x Result) float64 { return x.Worth }).Mean, must.Sprint(baseline))
+	}
+}
+
+// Guards against a fleet that runs more than it has room for, or work that appears from nowhere.
+func TestBusyStaysWithinTheFleet(t *testing.T) {
+	s := load(t, "orchards-heavy")
+	s.LengthS = 10
+	for _, p := range Policies() {
+		r := s.play(1, p)
+		must.Between(t, 0, r.Busy, 1, must.Sprint(p.Name))
+		must.Between(t, 0, r.Lost, 1, must.Sprint(p.Name))
+		for _, c := range r.Classes {
+			must.LessEq(t, c.Jobs, c.InTime+c.Late, must.Sprint(p.Name))
+		}
+	}
+}
+
+// Guards against scenario files whose mistakes show only in strange results.
+func TestScenariosAreChecked(t *testing.T) {
+	for _, bad := range []string{"", "{}", `{"lengthS": 1}`, `{"lengthS": 1, "fleet": {"racks": 1, "workersPerRack": 1, "milliCores": 1, "leaseMaxS": 1}}`,
+		`{"lengthS": 1, "fleet": {"racks": 1, "workersPerRack": 1, "milliCores": 1, "leaseMaxS": 1}, "teams": [{"name": "t", "share": 1}], "classes": [{"name": "c"}]}`} {
+		_, err := ParseScenario([]byte(bad))
+		must.Error(t, err, must.Sprint(bad))
+	}
+	s := load(t, "blue-mahoe-heavy")
+	s.Bursts = append(s.Bursts, Burst{Class: "nobody"})
+	must.Error(t, s.check())
+	_, err := Experiment{Scenario: s, Policies: []string{"none"}, Seeds: 1}.Run()
+	must.Error(t, err)
+}
+
+// Guards against confidence ranges that are too narrow, and against a plot or a table that can't be read.
+func TestReport(t *testing.T) {
+	e := Outcome{Results: []Result{{Worth: 1}, {Worth: 2}, {Worth: 3}}}.Of(func(r Result) float64 { return r.Worth })
+	must.Eq(t, "2.000±2.484", e.String())
+	s := load(t, "orchards-heavy")
+	s.LengthS, s.SettleS = 3, 1
+	r, err := Experiment{Scenario: s, Seeds: 2, Parallel: 2}.Run()
+	must.NoError(t, err)
+	var svg, table bytes.Buffer
+	must.NoError(t, r.WriteSVG(&svg))
+	must.NoError(t, r.Write(&table))
+	for _, want := range []string{"product", "oracle", "storm-call", "±"} {
+		must.StrContains(t, table.String(), want)
+	}
+	for d := xml.NewDecoder(&svg); ; {
+		_, err := d.Token()
+		if err == io.EOF {
+			return
+		}
+		must.NoError(t, err)
+	}
+}
--- /dev/null
+++ b/internal/bench/fleetmodel/report.go
@@ -0,0 +1,213 @@
+package fleetmodel
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Experiment runs policies on the same seeds.
+type Experiment struct {
+	Scenario Scenario
+	Policies []string // names; empty means all
+	Seeds    int
+	First    uint64 // first seed
+	Parallel int    // simulations at a time
+}
+
+// Outcome holds the results of one policy, one per seed.
+type Outcome struct {
+	Policy  string
+	Results []Result
+}
+
+// Report is the outcome of an experiment.
+type Report struct {
+	Scenario Scenario
+	Outcomes []Outcome
+}
+
+// Run plays all seeds with all policies.
+func (e Experiment) Run() (Report, error) {
+	chosen, err := choosePolicies(e.Policies)
+	if err != nil {
+		return Report{}, err
+	}
+	if e.Seeds < 1 {
+		return Report{}, errors.New("at least one seed is needed")
+	}
+	report := Report{Scenario: e.Scenario}
+	slots := make(chan struct{}, max(1, e.Parallel))
+	var group sync.WaitGroup
+	for _, p := range chosen {
+		o := Outcome{Policy: p.Name, Results: make([]Result, e.Seeds)}
+		report.Outcomes = append(report.Outcomes, o)
+		for i := range e.Seeds {
+			slots <- struct{}{}
+			group.Go(func() {
+				defer func() { <-slots }()
+				o.Results[i] = e.Scenario.play(e.First+uint64(i), p)
+			})
+		}
+	}
+	group.Wait()
+	return report, nil
+}
+
+func choosePolicies(names []string) ([]Policy, error) {
+	all := Policies()
+	if len(names) == 0 {
+		return all, nil
+	}
+	var out []Policy
+	for _, name := range names {
+		found := false
+		for _, p := range all {
+			if p.Name == name {
+				out, found = append(out, p), true
+			}
+		}
+		if !found {
+			return nil, errors.Errorf("unknown policy %q", name)
+		}
+	}
+	return out, nil
+}
+
+// Estimate is a mean over seeds with the half width of its 95% confidence range.
+type Estimate struct{ Mean, Half float64 }
+
+// String prints the mean and the half width.
+func (e Estimate) String() string { return fmt.Sprintf("%.3f±%.3f", e.Mean, e.Half) }
+
+// studentT holds the 97.5% quantile of Student's t distribution by degrees of freedom, from 1; the last one is used for all larger ones.
+var studentT = [...]float64{12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228, 2.201, 2.179, 2.160, 2.145, 2.131, 2.120, 2.110, 2.101, 2.093, 2.086}
+
+// Of returns the estimate of a measure over the results.
+func (o Outcome) Of(measure func(Result) float64) Estimate {
+	n := float64(len(o.Results))
+	sum, squares := 0.0, 0.0
+	for _, r := range o.Results {
+		sum += measure(r)
+	}
+	mean := sum / n
+	if n < 2 {
+		return Estimate{Mean: mean}
+	}
+	for _, r := range o.Results {
+		d := measure(r) - mean
+		squares += d * d
+	}
+	t := studentT[min(len(o.Results)-2, len(studentT)-1)]
+	return Estimate{mean, t * math.Sqrt(squares/(n-1)/n)}
+}
+
+// Outcome returns the outcome of a policy.
+func (r Report) Outcome(policy string) (Outcome, bool) {
+	for _, o := range r.Outcomes {
+		if o.Policy == policy {
+			return o, true
+		}
+	}
+	return Outcome{}, false
+}
+
+// measures are the columns of the table that don't belong to a class.
+var measures = []struct {
+	name string
+	of   func(Result) float64
+}{
+	{"worth", func(r Result) float64 { return r.Worth }},
+	{"busy", func(r Result) float64 { return r.Busy }},
+	{"lost", func(r Result) float64 { return r.Lost }},
+	{"starts", func(r Result) float64 { return float64(r.Starts) }},
+	{"stops", func(r Result) float64 { return float64(r.Stops) }},
+	{"decide s", func(r Result) float64 { return r.Plan.Seconds() }},
+}
+
+// classMeasures are the columns of each class.
+var classMeasures = []struct {
+	name string
+	of   func(ClassResult) float64
+}{
+	{"worth", func(c ClassResult) float64 { return c.Worth }},
+	{"in time", func(c ClassResult) float64 { return share(c.InTime, c.Jobs) }},
+	{"late", func(c ClassResult) float64 { return share(c.Late, c.Jobs) }},
+	{"p50 s", func(c ClassResult) float64 { return c.P50.Seconds() }},
+	{"p99 s", func(c ClassResult) float64 { return c.P99.Seconds() }},
+	{"large/all", func(c ClassResult) float64 { return c.Large }},
+}
+
+func share(n, of int) float64 { return float64(n) / float64(max(1, of)) }
+
+// Write prints the tables.
+func (r Report) Write(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	seeds := 0
+	if len(r.Outcomes) > 0 {
+		seeds = len(r.Outcomes[0].Results)
+	}
+	_, err := fmt.Fprintf(w, "%s: %d workers, %.0f s of arrivals, %d seeds; means with 95%% confidence ranges\n\n",
+		r.Scenario.Name, r.Scenario.Fleet.Racks*r.Scenario.Fleet.WorkersPerRack, r.Scenario.LengthS, seeds)
+	line := func(cells ...string) {
+		for _, c := range cells {
+			if err == nil {
+				_, err = fmt.Fprintf(t, "%s\t", c)
+			}
+		}
+		if err == nil {
+			_, err = fmt.Fprintln(t)
+		}
+	}
+	head := []string{"policy"}
+	for _, m := range measures {
+		head = append(head, m.name)
+	}
+	line(head...)
+	for _, o := range r.Outcomes {
+		cells := []string{o.Policy}
+		for _, m := range measures {
+			cells = append(cells, o.Of(m.of).String())
+		}
+		line(cells...)
+	}
+	line()
+	head = []string{"class", "policy"}
+	for _, m := range classMeasures {
+		head = append(head, m.name)
+	}
+	line(head...)
+	for i, c := range r.Scenario.Classes {
+		for _, o := range r.Outcomes {
+			cells := []string{c.Name, o.Policy}
+			for _, m := range classMeasures {
+				cells = append(cells, o.Of(func(x Result) float64 { return m.of(x.Classes[i]) }).String())
+			}
+			line(cells...)
+		}
+	}
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return errors.WithStack(t.Flush())
+}
+
+// Urgent returns the estimates of the urgent class's time to completion, in seconds.
+func (r Report) Urgent(policy string) (p50, p99 Estimate, ok bool) {
+	o, found := r.Outcome(policy)
+	for i, c := range r.Scenario.Classes {
+		if found && c.Priority == 0 {
+			return o.Of(func(x Result) float64 { return x.Classes[i].P50.Seconds() }),
+				o.Of(func(x Result) float64 { return x.Classes[i].P99.Seconds() }), true
+		}
+	}
+	return Estimate{}, Estimate{}, false
+}
+
+// Elapsed is the simulated time of one play.
+func (s *Scenario) Elapsed() time.Duration { return seconds(s.LengthS + s.SettleS) }
--- a/internal/tools/bench.go
+++ b/internal/tools/bench.go
@@ -11,6 +11,7 @@
 
 type benchCmd struct {
 	Policy  policyCmd  `cmd:"" help:"Compare the scheduling policy with two baselines on seeded job lists."`
+	Fleet   fleetCmd   `cmd:"" help:"Play the load of a scenario file against the policy of the platform's fleet and baselines, in simulated time."`
 	Routing routingCmd `cmd:"" help:"Compare the choice of executors with other policies, and measure recovery from overload."`
 }
 
