--- /dev/null
+++ b/internal/batch/machine.go
@@ -0,0 +1,30 @@
+package batch
+
+import "time"
+
+// Wave asks for the maintenance of machines.
+type Wave struct {
+	ID       string
+	Machines []string
+	Within   time.Duration // wanted time for all of them
+	Cap      int           // most machines in maintenance at a time
+}
+
+// MachineState is what the provider of machines says of one.
+type MachineState uint8
+
+// States of machines.
+const (
+	MachineUp MachineState = iota + 1
+	MachineMoving
+	MachineInMaintenance
+	MachineDown
+)
+
+// Machine is a machine that a worker runs on. A worker is one life of it.
+type Machine struct {
+	ID     string
+	Pool   string // service of its workers
+	State  MachineState
+	Worker string // id of its present worker, or empty
+}
--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,8 +36,8 @@
 
 // Sources follow what operators and workers write. The functions return at the end of ctx.
 type Sources interface {
-	// FollowPolicy reports each configuration that is read.
-	FollowPolicy(ctx context.Context, report func(*batch.Policy))
+	// FollowOperator reports each configuration that is read, and new waves of maintenance.
+	FollowOperator(ctx context.Context, policy func(*batch.Policy), waves func([]batch.Wave))
 	// PolicyAge returns for how long the newest configuration has not been confirmed.
 	PolicyAge() time.Duration
 	// FollowWorkers reports the whole list of workers at each change.
@@ -54,6 +55,7 @@
 	Peers      Peers
 	Sources    Sources
 	Links      dispatch.Links
+	Machines   dispatch.Machines // nil if no machines can be maintained
 	Bounds     dispatch.Bounds
 	Clock      dispatch.Clock
 	Metrics    Metrics
@@ -80,6 +82,7 @@
 	hosts   hostList
 
 	mu     sync.Mutex
+	waves  []batch.Wave
 	runner *dispatch.Runner // while leading
 	epoch  uint64           // while leading, else 0
 }
@@ -130,7 +133,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	group.Go(func() { h.states.Run(serve) })
-	group.Go(func() { h.options.Sources.FollowPolicy(serve, h.setPolicy) })
+	group.Go(func() { h.options.Sources.FollowOperator(serve, h.setPolicy, h.addWaves) })
 	group.Go(func() { h.register(serve) })
 	h.leadLoop(leading)
 }
@@ -148,6 +151,23 @@
 	}
 }
 
+// addWaves takes waves of maintenance; those that are known already have no further effect.
+func (h *Host) addWaves(waves []batch.Wave) {
+	h.mu.Lock()
+	h.waves = append(h.waves, waves...)
+	r := h.runner
+	h.mu.Unlock()
+	if r != nil {
+		r.Do(func(c *dispatch.Core, now time.Duration) { c.SetWaves(waves, now) })
+	}
+}
+
+func (h *Host) knownWaves() []batch.Wave {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.waves)
+}
+
 // leadLoop claims leadership whenever that is due, until ctx ends.
 func (h *Host) leadLoop(ctx context.Context) {
 	ticker := time.NewTicker(claimEvery)
@@ -202,7 +222,11 @@
 	r.SetAskers(h.OtherHosts)
 	h.setRunner(r, session.Epoch())
 	// A configuration that came while the core was restored has not reached it.
-	r.Do(func(c *dispatch.Core, _ time.Duration) { c.SetPolicy(h.intake.Policy()) })
+	r.SetMachines(h.options.Machines)
+	r.Do(func(c *dispatch.Core, now time.Duration) {
+		c.SetPolicy(h.intake.Policy())
+		c.SetWaves(h.knownWaves(), now)
+	})
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer stop()
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -51,27 +51,34 @@
 	workers map[string]*worker
 	seq     int
 
-	rows     rowQueue
-	effects  []effect
-	orders   []Order
-	wakes    []string  // workers whose reading has to go on
-	retire   []Retired // ended jobs whose submission may be replaced by a tombstone
-	forget   []string  // ids of jobs of which nothing is kept any more
-	dirty    bool      // something changed since the last plan
-	freeze   bool      // no new starts
-	deposed  bool
-	times    runTimes
-	demand   demand
-	forgotAt time.Duration
-	asking   map[string]time.Duration // when each asker may put the next question to the adviser
-	wall     int64                    // time of day of the last Tick, Unix milliseconds
-	now      time.Duration            // of the present call
+	rows        rowQueue
+	effects     []effect
+	orders      []Order
+	wakes       []string  // workers whose reading has to go on
+	retire      []Retired // ended jobs whose submission may be replaced by a tombstone
+	forget      []string  // ids of jobs of which nothing is kept any more
+	dirty       bool      // something changed since the last plan
+	freeze      bool      // no new starts
+	deposed     bool
+	times       runTimes
+	demand      demand
+	forgotAt    time.Duration
+	waves       map[string]*wave
+	storedWaves map[string]waveValue // rows of waves that no operator has named yet
+	machines    map[string]batch.Machine
+	machinesAt  time.Duration // when the list of machines was asked for
+	maintenance []Maintenance
+	closing     map[string]bool          // workers that are emptied for maintenance
+	asking      map[string]time.Duration // when each asker may put the next question to the adviser
+	wall        int64                    // time of day of the last Tick, Unix milliseconds
+	now         time.Duration            // of the present call
 }
 
 // New returns the core of a new leader. now is the time at which its epoch was stored.
 func New(epoch uint64, policy *batch.Policy, bounds Bounds, log logrus.FieldLogger) *Core {
 	c := &Core{epoch: epoch, bounds: bounds, log: log, policy: policy, jobs: map[string]*job{}, ended: map[string]endedJob{},
-		workers: map[string]*worker{}, rows: rowQueue{marked: map[rowID]bool{}}, dirty: true, times: runTimes{}, asking: map[string]time.Duration{}}
+		workers: map[string]*worker{}, rows: rowQueue{marked: map[rowID]bool{}}, dirty: true, times: runTimes{}, asking: map[string]time.Duration{},
+		waves: map[string]*wave{}, storedWaves: map[string]waveValue{}}
 	c.budget, c.planner, c.runTime = c.budgetOf, placement.Plan, c.times.expect
 	return c
 }
--- /dev/null
+++ b/internal/dispatch/maintenance_test.go
@@ -0,0 +1,192 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"samphirewell/internal/batch"
+)
+
+// fakeMachines plays the provider of the machines of a fake fleet: maintenance takes a while, and the worker comes back under another id.
+type fakeMachines struct {
+	s       *system
+	states  map[string]batch.MachineState
+	workers map[string]string // machine -> worker
+	backAt  map[string]time.Duration
+	begun   map[string]int
+	lose    int // answers to lose
+	most    int // machines that were in maintenance at a time
+}
+
+const fakeMaintenance = 2 * time.Second
+
+func newFakeMachines(s *system) *fakeMachines {
+	f := &fakeMachines{s: s, states: map[string]batch.MachineState{}, workers: map[string]string{}, backAt: map[string]time.Duration{}, begun: map[string]int{}}
+	for _, id := range s.fleet.ids() {
+		f.states["m-"+id], f.workers["m-"+id] = batch.MachineUp, id
+	}
+	return f
+}
+
+func (f *fakeMachines) ids() []string {
+	var out []string
+	for _, id := range f.s.fleet.ids() {
+		out = append(out, "m-"+id)
+	}
+	return out
+}
+
+func (f *fakeMachines) list() []batch.Machine {
+	var out []batch.Machine
+	for id, state := range f.states {
+		out = append(out, batch.Machine{ID: id, Pool: "svc", State: state, Worker: f.workers[id]})
+	}
+	return out
+}
+
+// maintain carries an order out and returns what the sender sees.
+func (f *fakeMachines) maintain(m Maintenance) MaintenanceResult {
+	if _, ok := f.states[m.Machine]; !ok {
+		return MaintenanceNotDue
+	}
+	if f.begun[m.Machine] == 0 {
+		if f.states[m.Machine] != batch.MachineUp {
+			return MaintenanceBusy
+		}
+		f.begun[m.Machine]++
+		f.states[m.Machine] = batch.MachineInMaintenance
+		f.backAt[m.Machine] = f.s.fleet.now + fakeMaintenance
+		f.s.fleet.lose(f.workers[m.Machine])
+		f.most = max(f.most, len(f.backAt))
+	}
+	if f.lose > 0 {
+		f.lose--
+		return MaintenanceUnknown
+	}
+	return MaintenanceBegun
+}
+
+// run lets the system go on, with the leader's orders for machines.
+func (f *fakeMachines) run(d time.Duration) {
+	s := f.s
+	for end := s.fleet.now + d; s.fleet.now < end; {
+		s.run(testStep)
+		for id, at := range f.backAt {
+			if s.fleet.now >= at {
+				delete(f.backAt, id)
+				f.states[id] = batch.MachineUp
+				old := s.fleet.workers[f.workers[id]]
+				f.workers[id] += "+"
+				s.fleet.addWorker(f.workers[id], old.Rack)
+			}
+		}
+		for _, l := range s.leaders {
+			if l.frozen || l.core.Deposed() {
+				continue
+			}
+			if l.core.NeedsMachines(s.fleet.now) {
+				l.core.OnMachines(f.list(), s.fleet.now)
+			}
+			for _, m := range l.core.TakeMaintenance() {
+				l.core.OnMaintenance(m, f.maintain(m), s.fleet.now)
+			}
+		}
+	}
+}
+
+func (s *system) leader() *Core { return s.leaders[len(s.leaders)-1].core }
+
+func waveOf(f *fakeMachines, limit int, within time.Duration) batch.Wave {
+	return batch.Wave{ID: "1", Machines: f.ids(), Within: within, Cap: limit}
+}
+
+// Guards against a wave that takes down more machines than it may, that ends before every machine had its turn, or that is never completed.
+func TestWaveMaintainsEveryMachineWithinItsCap(t *testing.T) {
+	s := newSystem(t, 1, 2, 3)
+	f := newFakeMachines(s)
+	for i := range 6 {
+		s.submit(simpleJob(fmt.Sprintf("j%d", i), "normal", 1, 2, batch.Room{MilliCores: 8000, Accelerators: 4}))
+	}
+	f.run(time.Second)
+	f.lose = 2
+	s.leader().SetWaves([]batch.Wave{waveOf(f, 2, 20*time.Second)}, s.fleet.now)
+	must.Eq(t, []WaveReport{{ID: "1"}}, s.leader().TakeWaveReports())
+	f.run(20 * time.Second)
+	must.Eq(t, 2, f.most)
+	for _, id := range f.ids() {
+		if f.workers[id] != "" && len(id) == len("m-w0-0") {
+			must.Eq(t, 1, f.begun[id], must.Sprint(id))
+		}
+	}
+	must.Eq(t, []WaveReport{{ID: "1", Completed: true}}, s.leader().TakeWaveReports())
+	f.run(5 * time.Second)
+	s.mustHold()
+	for i := range 6 {
+		must.Eq(t, batch.Completed, s.state(fmt.Sprintf("j%d", i)))
+	}
+	s.leader().TellWave("1")
+	must.Eq(t, []WaveReport{{ID: "1", Completed: true}}, s.leader().TakeWaveReports(), must.Sprint("a lost report is repeated"))
+}
+
+// Guards against a new leader that takes down machines beside those that its predecessor has ordered, or that forgets which ones are done.
+func TestWaveGoesOnUnderANewLeader(t *testing.T) {
+	s := newSystem(t, 2, 2, 3)
+	f := newFakeMachines(s)
+	w := waveOf(f, 1, 30*time.Second)
+	s.leader().SetWaves([]batch.Wave{w}, s.fleet.now)
+	for range 6 {
+		f.run(1700 * time.Millisecond)
+		s.elect()
+		s.leader().SetWaves([]batch.Wave{w}, s.fleet.now)
+	}
+	f.run(20 * time.Second)
+	must.Eq(t, 1, f.most)
+	total := 0
+	for _, n := range f.begun {
+		must.Eq(t, 1, n)
+		total++
+	}
+	must.Eq(t, 6, total)
+	s.mustHold()
+}
+
+// Guards against maintenance that takes away more tasks of a long-running step than the step may miss.
+func TestWaveLeavesLongRunningStepsTheirTasks(t *testing.T) {
+	s := newSystem(t, 3, 2, 3)
+	f := newFakeMachines(s)
+	j := simpleJob("serve", "normal", 1, 4, batch.Room{MilliCores: 1000, Accelerators: 8})
+	j.Steps[0].LongRunning, j.Steps[0].MayMiss = true, 1
+	s.submit(j)
+	f.run(2 * time.Second)
+	atWork := func() int {
+		n := 0
+		for _, w := range s.fleet.workers {
+			if w.up {
+				n += len(w.running)
+			}
+		}
+		return n
+	}
+	must.Eq(t, 4, atWork())
+	s.leader().SetWaves([]batch.Wave{waveOf(f, 3, 5*time.Second)}, s.fleet.now)
+	for range 800 {
+		f.run(testStep)
+		must.GreaterEq(t, 3, atWork(), must.Sprintf("at %v", s.fleet.now))
+	}
+	must.Eq(t, []WaveReport{{ID: "1", Completed: true}}, s.leader().TakeWaveReports())
+}
+
+// Guards against a wave that waits for ever for machines that have left.
+func TestWaveSkipsMachinesThatAreGone(t *testing.T) {
+	s := newSystem(t, 4, 1, 2)
+	f := newFakeMachines(s)
+	w := waveOf(f, 1, 5*time.Second)
+	w.Machines = append(w.Machines, "m-unknown")
+	s.leader().SetWaves([]batch.Wave{w}, s.fleet.now)
+	f.run(10 * time.Second)
+	must.Eq(t, []WaveReport{{ID: "1", Completed: true}}, s.leader().TakeWaveReports())
+	must.Eq(t, 2, len(f.begun))
+}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -34,6 +34,7 @@
 			c.openSteps(j, now)
 		}
 	}
+	c.tickWaves(now)
 	c.forgetOld(now)
 }
 
@@ -292,7 +293,7 @@
 
 // usable reports whether a worker may get new work.
 func (c *Core) usable(w *worker, now time.Duration) bool {
-	return w.registered && !w.Draining && w.contacted && !w.silent && now >= w.fullUntil && w.health.trusted(now)
+	return w.registered && !w.Draining && !c.closing[w.ID] && w.contacted && !w.silent && now >= w.fullUntil && w.health.trusted(now)
 }
 
 func (c *Core) addRuns(in *planInput, within map[*job]bool, now time.Duration) {
--- a/internal/dispatch/restore.go
+++ b/internal/dispatch/restore.go
@@ -50,6 +50,10 @@
 }
 
 func (c *Core) restoreChunk(r rowstore.Row, now time.Duration) {
+	if id, ok := strings.CutPrefix(r.Key.Key, waveKeyPrefix); ok {
+		c.restoreWave(r, id)
+		return
+	}
 	j, k, step, ok := c.chunkOf(r.Key.Key)
 	if !ok {
 		// The row of an ended job whose deletion was not stored.
--- a/internal/dispatch/rows.go
+++ b/internal/dispatch/rows.go
@@ -30,6 +30,7 @@
 const (
 	stateRows rowKind = iota
 	taskRows
+	waveRows
 )
 
 // rowID names a row of the dispatcher.
@@ -51,6 +52,9 @@
 	if r.kind == stateRows {
 		return rowstore.Key{Table: TableStates, Part: Part, Key: r.job}
 	}
+	if r.kind == waveRows {
+		return rowstore.Key{Table: TableTasks, Part: Part, Key: waveKeyPrefix + r.job}
+	}
 	key := r.job + "/" + strconv.Itoa(r.occurrence) + "." + strconv.Itoa(r.step) + "/" + strconv.Itoa(r.chunk)
 	return rowstore.Key{Table: TableTasks, Part: Part, Key: key}
 }
@@ -159,6 +163,9 @@
 
 // encode returns the present contents of a row; false if its job is forgotten.
 func (c *Core) encode(id rowID) ([]byte, bool) {
+	if id.kind == waveRows {
+		return c.encodeWave(id.job)
+	}
 	j := c.jobs[id.job]
 	if j == nil {
 		return nil, false
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -57,6 +57,8 @@
 	metrics Metrics
 	others  func() []string // addresses of other hosts that may ask the adviser
 
+	machines Machines // nil if no machines can be maintained
+
 	kick      chan struct{}
 	stored    chan struct{}            // closed at the next successful transaction
 	holders   map[string]chan struct{} // wakes the goroutine that reads a worker
@@ -134,6 +136,9 @@
 	defer group.Wait()
 	defer stop()
 	group.Go(func() { r.commitLoop(ctx, run, stop) })
+	if r.machines != nil {
+		group.Go(func() { r.machinesLoop(run, &group) })
+	}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for run.Err() == nil {
