--- a/internal/clock/boot.go
+++ b/internal/clock/boot.go
@@ -7,7 +7,12 @@
 )
 
 // Boot reads the clocks that the scheduling of jobs needs.
-type Boot struct{}
+type Boot struct{ timeOfDay *TimeOfDay }
+
+// NewBoot returns the clocks of this machine.
+func NewBoot() Boot {
+	return Boot{NewTimeOfDay(Boot{}.SinceBoot, time.Now)}
+}
 
 // SinceBoot returns the time since the start of the machine. Unlike the steady clock of package time it goes on while the machine is
 // suspended, so that a leader notices that its authority has ended.
@@ -19,5 +24,5 @@
 	return time.Duration(ts.Nano())
 }
 
-// WallMS returns the time of day, Unix milliseconds.
-func (Boot) WallMS() int64 { return time.Now().UnixMilli() }
+// WallMS returns the time of day without jumps that don't last, Unix milliseconds.
+func (b Boot) WallMS() int64 { return b.timeOfDay.UnixMS() }
