--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -105,6 +105,33 @@
 	return h.intake.Policy() != nil && h.options.Sources.PolicyAge() < readyAge
 }
 
+// Status is the state of a host at a moment.
+type Status struct {
+	PolicyVersion int64 // 0 without a configuration
+	PolicyAge     time.Duration
+	StatesAge     time.Duration // time since the copy of the states was last confirmed
+	KnownHosts    int
+	Epoch         uint64             // while this host leads, else 0
+	Leader        *dispatch.Overview // nil while it doesn't lead
+}
+
+// Status returns the state of the host.
+func (h *Host) Status() Status {
+	s := Status{PolicyAge: h.options.Sources.PolicyAge(), StatesAge: h.states.Age(time.Now()), KnownHosts: len(h.OtherHosts())}
+	if p := h.intake.Policy(); p != nil {
+		s.PolicyVersion = p.Version
+	}
+	h.mu.Lock()
+	r, epoch := h.runner, h.epoch
+	h.mu.Unlock()
+	s.Epoch = epoch
+	if r != nil {
+		o := r.Overview()
+		s.Leader = &o
+	}
+	return s
+}
+
 // stateRows passes the rows of the table of states on.
 type stateRows struct{ h *Host }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -63,6 +63,7 @@
 	times       runTimes
 	demand      demand
 	forgotAt    time.Duration
+	counts      Counts
 	waves       map[string]*wave
 	storedWaves map[string]waveValue // rows of waves that no operator has named yet
 	machines    map[string]batch.Machine
@@ -78,7 +79,7 @@
 func New(epoch uint64, policy *batch.Policy, bounds Bounds, log logrus.FieldLogger) *Core {
 	c := &Core{epoch: epoch, bounds: bounds, log: log, policy: policy, jobs: map[string]*job{}, ended: map[string]endedJob{},
 		workers: map[string]*worker{}, rows: rowQueue{marked: map[rowID]bool{}}, dirty: true, times: runTimes{}, asking: map[string]time.Duration{},
-		waves: map[string]*wave{}, storedWaves: map[string]waveValue{}}
+		counts: newCounts(), waves: map[string]*wave{}, storedWaves: map[string]waveValue{}}
 	c.budget, c.planner, c.runTime = c.budgetOf, placement.Plan, c.times.expect
 	return c
 }
@@ -222,6 +223,7 @@
 // finish makes a state final and ends what still runs.
 func (c *Core) finish(j *job, s batch.State, now time.Duration) {
 	j.state, j.endedAt = s, now
+	c.counts.Jobs[string(s)]++
 	c.rows.mark(stateRow(j.ID))
 	c.afterStored(stateRow(j.ID), func() { c.retireJob(j) })
 	c.logJob(j).WithField("after_ms", (now - j.known).Milliseconds()).Info("job ended")
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -74,6 +74,7 @@
 	Committed(rows int, took time.Duration)
 	Planned(took time.Duration)
 	Ordered(o Order, r Result, took time.Duration)
+	Counted(Counts)
 }
 
 // NewRunner returns a runner of a core that was just restored.
@@ -93,6 +94,13 @@
 	r.wake()
 }
 
+// Overview returns the state of the leader.
+func (r *Runner) Overview() Overview {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.core.Overview(r.clock.SinceBoot())
+}
+
 // JobState returns the state of a job. It waits for an end that is about to be stored: callers ask again only after some hundred milliseconds, and a lost
 // question costs them much longer.
 func (r *Runner) JobState(ctx context.Context, id string) JobState {
@@ -181,6 +189,7 @@
 		}
 	}
 	r.sendOrders(ctx, group, now)
+	r.metrics.Counted(r.core.TakeCounts())
 	r.sendQuestions(ctx, group, now)
 	r.startHolders(ctx, group)
 	return wait
--- a/internal/dispatch/runner_test.go
+++ b/internal/dispatch/runner_test.go
@@ -18,6 +18,7 @@
 func (noMetrics) Committed(int, time.Duration)         {}
 func (noMetrics) Planned(time.Duration)                {}
 func (noMetrics) Ordered(Order, Result, time.Duration) {}
+func (noMetrics) Counted(Counts)                       {}
 
 type realClock struct{ start time.Time }
 
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -36,6 +36,7 @@
 // closeRun takes the end of the present run of a task into account.
 func (c *Core) closeRun(t *task, o outcome, now time.Duration) {
 	u := t.unit
+	c.counts.Ends[string(o)]++
 	c.logTask(t).WithFields(logrus.Fields{"outcome": string(o), "percent": t.percent, "ran_ms": (now - t.startedAt).Milliseconds()}).Info("run over")
 	if w := c.workers[t.worker]; w != nil {
 		delete(w.occupants, t.key())
@@ -121,6 +122,9 @@
 
 // stopUnit ends all runs of a unit.
 func (c *Core) stopUnit(u *unit, now time.Duration, reason string) {
+	if u.active() {
+		c.counts.Stops[reason]++
+	}
 	for _, t := range u.tasks {
 		switch t.phase {
 		case assigned:
@@ -128,6 +132,7 @@
 			c.closeRun(t, outNotOrdered, now)
 		case ordered, running:
 			c.logTask(t).WithFields(logrus.Fields{"reason": reason, "percent": t.percent}).Info("stopping run")
+			c.counts.Lost[reason] += c.lossOf(t, now)
 			t.phase, t.stopConfirmed = stopping, false
 			c.orderStop(t, now)
 		}
@@ -180,6 +185,7 @@
 	lease := w.clockNow(now) + startLease
 	w.leaseEnd = max(w.leaseEnd, lease)
 	c.logTask(t).WithFields(logrus.Fields{"waited_ms": (now - t.unit.readySince).Milliseconds(), "resume": t.checkpoint != ""}).Info("starting run")
+	c.counts.Starts = append(c.counts.Starts, StartCount{t.unit.job.Queue.Priority, now - t.unit.readySince})
 	c.wakes = append(c.wakes, w.ID)
 	c.orders = append(c.orders, Order{Worker: w.Worker, Epoch: c.epoch, Task: t.name, Run: run, Payload: t.unit.job.Payload,
 		Lease: lease, Resume: t.unit.resume(), Ticket: t.ticketFor(w, now)})
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -40,6 +40,11 @@
 	Uncertain       // whether it took effect is not known; the same request may come again
 )
 
+// String returns the name for logs and metrics.
+func (c Code) String() string {
+	return [...]string{"", "ok", "malformed", "unknown_key", "no_queue", "no_job", "not_now", "uncertain"}[c]
+}
+
 // Reply is the answer to a caller.
 type Reply struct {
 	Code       Code
