--- a/internal/dispatch/system_test.go
+++ b/internal/dispatch/system_test.go
@@ -57,6 +57,7 @@
 	inbox   []batch.Job
 	cancels []string
 	epochs  int
+	outage  bool // nothing can be stored
 }
 
 func newSystem(t must.T, seed uint64, racks, perRack int) *system {
@@ -145,6 +146,9 @@
 }
 
 func (s *system) commit(l *leader) {
+	if s.outage {
+		return
+	}
 	cm := l.core.TakeCommit()
 	if cm == nil {
 		cm = &Commit{}
@@ -249,6 +253,32 @@
 	must.SliceContains(t, s.leaders[0].core.TakeForgotten(), "j")
 }
 
+// Guards against an end that a caller was told and that is lost: the table is down, the worker with the only proof leaves, and the next leader runs the
+// task again.
+func TestNoEndIsToldThatMayBeLost(t *testing.T) {
+	s := newSystem(t, 5, 1, 2)
+	s.fleet.calm = false
+	s.submit(simpleJob("j", "normal", 1, 1, smallRoom))
+	s.run(200 * time.Millisecond)
+	s.outage = true
+	s.run(3800 * time.Millisecond) // runs take at most 3.5 s, and a leader acts for 4 s after its last write
+	must.MapContainsKey(t, s.fleet.everDone, "j.0.0.0")
+	must.True(t, s.leaders[0].core.JobState("j").Storing)
+	must.NotEq(t, batch.Completed, s.leaders[0].core.JobState("j").State)
+	for id, w := range s.fleet.workers {
+		if len(w.ended) > 0 {
+			s.fleet.lose(id)
+		}
+	}
+	s.leaders[0].frozen = true
+	s.outage = false
+	s.elect()
+	must.Eq(t, batch.Running, s.leaders[1].core.JobState("j").State)
+	s.run(20 * time.Second)
+	must.Eq(t, batch.Completed, s.state("j"))
+	must.Eq(t, batch.Completed, s.leaders[1].core.JobState("j").State)
+}
+
 // Guards against leases that are renewed in vain and so never end: a worker that is lost for good must not keep its tasks.
 func TestTasksOfALostWorkerStartElsewhere(t *testing.T) {
 	s := newSystem(t, 2, 1, 3)
