--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -82,6 +82,7 @@
 	hosts   hostList
 
 	mu     sync.Mutex
+	bounds dispatch.Bounds
 	waves  []batch.Wave
 	runner *dispatch.Runner // while leading
 	epoch  uint64           // while leading, else 0
@@ -91,7 +92,7 @@
 
 // New returns a host that doesn't run yet.
 func New(o Options) *Host {
-	h := &Host{options: o, watch: lead.NewWatch(leaderKey, o.HostID, o.Processors)}
+	h := &Host{options: o, bounds: o.Bounds, watch: lead.NewWatch(leaderKey, o.HostID, o.Processors)}
 	h.intake = intake.New(o.Store, o.Sources.PolicyAge, h, o.Log)
 	h.states = rowstore.NewFollower(o.Store, dispatch.TableStates, []string{dispatch.Part}, stateRows{h}, statesInterval, o.Log)
 	return h
@@ -178,6 +179,23 @@
 	}
 }
 
+// SetBounds takes new limits of workers into force.
+func (h *Host) SetBounds(b dispatch.Bounds) {
+	h.mu.Lock()
+	h.bounds = b
+	r := h.runner
+	h.mu.Unlock()
+	if r != nil {
+		r.Do(func(c *dispatch.Core, _ time.Duration) { c.SetBounds(b) })
+	}
+}
+
+func (h *Host) presentBounds() dispatch.Bounds {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.bounds
+}
+
 // addWaves takes waves of maintenance; those that are known already have no further effect.
 func (h *Host) addWaves(waves []batch.Wave) {
 	h.mu.Lock()
@@ -240,7 +258,7 @@
 	defer stop()
 	h.setRunner(nil, session.Epoch())
 	defer h.setRunner(nil, 0)
-	core := dispatch.New(session.Epoch(), h.intake.Policy(), h.options.Bounds, h.options.Log)
+	core := dispatch.New(session.Epoch(), h.intake.Policy(), h.presentBounds(), h.options.Log)
 	version, err := h.restoreAlive(run, core, session)
 	if err != nil {
 		return err
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -104,6 +104,9 @@
 // Freeze ends new starts, before the host gives up leading.
 func (c *Core) Freeze() { c.freeze = true }
 
+// SetBounds takes new limits of workers. Leases that were renewed under a longer limit keep their ends.
+func (c *Core) SetBounds(b Bounds) { c.bounds = b }
+
 // SetPolicy takes a new configuration.
 func (c *Core) SetPolicy(p *batch.Policy) {
 	if c.policy == nil || p.Version > c.policy.Version {
