--- a/internal/batch/policy.go
+++ b/internal/batch/policy.go
@@ -48,12 +48,16 @@
 	Teams    []Team
 	MaxBody  int // bytes of a submission
 
-	teamOfKey map[string]string
+	teamOfKey   map[string]string
+	queueByName map[string]int // index into Queues
 }
 
 // Index prepares the lookups and returns p.
 func (p *Policy) Index() *Policy {
-	p.teamOfKey = map[string]string{}
+	p.teamOfKey, p.queueByName = map[string]string{}, map[string]int{}
+	for i, q := range p.Queues {
+		p.queueByName[q.Name] = i
+	}
 	for _, t := range p.Teams {
 		for _, k := range t.Keys {
 			p.teamOfKey[k] = t.Name
@@ -85,12 +89,11 @@
 
 // Queue returns a queue by name.
 func (p *Policy) Queue(name string) (Queue, bool) {
-	for _, q := range p.Queues {
-		if q.Name == name {
-			return q, true
-		}
+	i, ok := p.queueByName[name]
+	if !ok {
+		return Queue{}, false
 	}
-	return Queue{}, false
+	return p.Queues[i], true
 }
 
 // Guarantee returns the accelerators that are guaranteed to a team.
