--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -16,6 +16,7 @@
 	batch.Worker
 	fleet   *fakeFleet
 	up      bool
+	listed  bool // in the registry although it isn't up
 	cut     bool // orders and reads don't arrive
 	skew    time.Duration
 	fence   uint64
@@ -60,6 +61,7 @@
 	cancelled map[string]bool
 	calm      bool // no fault is near
 	broken    []string
+	toDead    int                      // starts that were ordered from workers that are gone
 	wasted    float64                  // accelerator-seconds of runs that were stopped
 	begun     map[string]time.Duration // first start of each job
 }
@@ -89,7 +91,7 @@
 func (f *fakeFleet) list() []batch.Worker {
 	var out []batch.Worker
 	for _, w := range f.workers {
-		if w.up {
+		if w.up || w.listed {
 			out = append(out, w.Worker)
 		}
 	}
@@ -102,6 +104,9 @@
 // order carries out an order and returns what the sender sees.
 func (f *fakeFleet) order(o Order) Result {
 	w := f.workers[o.Worker.ID]
+	if w != nil && !w.up && !o.Stop {
+		f.toDead++
+	}
 	if w == nil || !w.up || w.cut {
 		return Unknown
 	}
--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -37,7 +37,10 @@
 		var orders []Maintenance
 		var reports []WaveReport
 		if r.mayAct(r.clock.SinceBoot()) {
-			orders, reports = r.core.TakeMaintenance(), r.core.TakeWaveReports()
+			reports = r.core.TakeWaveReports()
+		}
+		if r.mayOrderMachines() {
+			orders = r.core.TakeMaintenance()
 		}
 		r.mu.Unlock()
 		for _, m := range orders {
@@ -65,7 +68,17 @@
 	r.Do(func(c *Core, _ time.Duration) { c.OnMachines(list, sent) })
 }
 
+// mayOrderMachines reports whether the last successful write is recent enough for orders to machines. The clock goes on while the host is suspended.
+func (r *Runner) mayOrderMachines() bool {
+	return r.failed == nil && r.clock.SinceBoot()-r.sentAt < machinesAuthority
+}
+
 func (r *Runner) maintain(ctx context.Context, m Maintenance) {
+	m.Still = func() bool {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return r.mayOrderMachines()
+	}
 	result := r.machines.Maintain(ctx, m)
 	if ctx.Err() == nil {
 		r.Do(func(c *Core, now time.Duration) { c.OnMaintenance(m, result, now) })
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -22,6 +22,12 @@
 	maintenanceTime = 3 * time.Second
 	// maintenanceRetry is the pause after an order for maintenance that was refused or got no answer.
 	maintenanceRetry = time.Second
+	// machinesAuthority is how long a leader may order machines after the sending of its last successful write. Machines don't always refuse the
+	// orders of an earlier leader, so it is short, and the next leader waits before it orders the same machine again.
+	machinesAuthority = 1500 * time.Millisecond
+	// machinesTakeover is that wait: the authority of the earlier leader, the time limit of its last call (1 s), and the time within which two holders
+	// must not take turns (3 s), rounded up.
+	machinesTakeover = 6 * time.Second
 	// waveKeyPrefix begins the keys of the rows of waves in the table of tasks.
 	waveKeyPrefix = "wave/"
 )
@@ -30,6 +36,8 @@
 type Maintenance struct {
 	Wave, Machine string
 	Epoch         uint64
+	// Still reports whether the order may still be sent. It is asked right before that.
+	Still func() bool
 }
 
 // MaintenanceResult is the outcome of such an order.
@@ -42,11 +50,12 @@
 	MaintenanceNotDue                               // the machine doesn't exist or doesn't belong to the wave
 	MaintenanceDeposed                              // a newer leader has given orders for the machine
 	MaintenanceUnknown                              // no answer: it may begin yet
+	MaintenanceNotSent                              // the leader's authority had ended, or there was no connection
 )
 
 // String returns the name for logs.
 func (r MaintenanceResult) String() string {
-	return [...]string{"", "begun", "busy", "not_due", "deposed", "unknown"}[r]
+	return [...]string{"", "begun", "busy", "not_due", "deposed", "unknown", "not_sent"}[r]
 }
 
 // machineTurn is where a machine of a wave stands.
@@ -69,6 +78,7 @@
 	turns     map[string]machineTurn
 	orderedAt map[string]time.Duration
 	answered  map[string]bool
+	workers   map[string]string // worker of a machine when it was ordered
 	completed bool
 	told      bool // its present state was reported
 }
@@ -95,7 +105,7 @@
 		if c.waves[w.ID] != nil {
 			continue
 		}
-		n := &wave{Wave: w, since: now, sinceMS: c.wall, turns: map[string]machineTurn{}, orderedAt: map[string]time.Duration{}, answered: map[string]bool{}}
+		n := &wave{Wave: w, since: now, sinceMS: c.wall, turns: map[string]machineTurn{}, orderedAt: map[string]time.Duration{}, answered: map[string]bool{}, workers: map[string]string{}}
 		n.Cap = max(1, n.Cap)
 		if row, ok := c.storedWaves[w.ID]; ok {
 			n.restore(row, c.wall, now)
@@ -116,7 +126,7 @@
 	}
 	for _, m := range v.Ordered {
 		w.turns[m] = turnOrdered
-		w.orderedAt[m] = now - maintenanceRetry
+		w.orderedAt[m] = now + machinesTakeover - maintenanceRetry
 	}
 	for _, m := range v.Over {
 		w.turns[m] = turnOver
@@ -251,6 +261,10 @@
 	case turn == turnOver || turn == turnStored:
 	case !listed:
 		c.endTurn(w, id, "gone") // it has left for good
+	case turn == turnOrdered && !w.answered[id] && m.State == batch.MachineInMaintenance:
+		w.answered[id] = true
+		w.turns[id] = turnDown
+		c.takeDown(w, id, now)
 	case turn == turnOrdered && !w.answered[id]:
 		if since >= maintenanceRetry {
 			c.orderMaintenance(w, id, now)
@@ -360,6 +374,7 @@
 // storeMaintenance orders the maintenance of a machine once that is stored: the next leader has to know that it may begin.
 func (c *Core) storeMaintenance(w *wave, id string) {
 	w.turns[id] = turnStored
+	w.workers[id] = c.machines[id].Worker
 	row := waveRow(w.ID)
 	c.rows.mark(row)
 	c.afterStored(row, func() {
@@ -376,6 +391,17 @@
 	c.maintenance = append(c.maintenance, Maintenance{Wave: w.ID, Machine: id, Epoch: c.epoch})
 }
 
+// takeDown takes into account that everything on a machine has ended with its worker. The registry lists that worker for some more seconds; starts there
+// would get no answer, and their tasks would wait for its leases to end.
+func (c *Core) takeDown(w *wave, id string, now time.Duration) {
+	host := c.workers[w.workers[id]]
+	if host == nil || host.gone {
+		return
+	}
+	host.gone = true
+	c.loseRuns(host, outTakenDown, now)
+}
+
 // OnMaintenance takes the result of an order for maintenance into account.
 func (c *Core) OnMaintenance(m Maintenance, r MaintenanceResult, now time.Duration) {
 	c.now = now
@@ -391,6 +417,7 @@
 	switch r {
 	case MaintenanceBegun:
 		w.answered[m.Machine] = true
+		c.takeDown(w, m.Machine, now)
 	case MaintenanceBusy:
 		w.turns[m.Machine] = turnWaiting // it is moved or down; its turn comes again once it is up
 		c.rows.mark(waveRow(w.ID))
--- a/internal/dispatch/maintenance_test.go
+++ b/internal/dispatch/maintenance_test.go
@@ -18,13 +18,21 @@
 	backAt  map[string]time.Duration
 	begun   map[string]int
 	lose    int // answers to lose
+	drop    int // orders to lose
 	most    int // machines that were in maintenance at a time
+	orders  map[string][]machineOrder
+	listed  bool // the registry goes on listing workers whose machine is down
+}
+
+type machineOrder struct {
+	epoch uint64
+	at    time.Duration
 }
 
 const fakeMaintenance = 2 * time.Second
 
 func newFakeMachines(s *system) *fakeMachines {
-	f := &fakeMachines{s: s, states: map[string]batch.MachineState{}, workers: map[string]string{}, backAt: map[string]time.Duration{}, begun: map[string]int{}}
+	f := &fakeMachines{s: s, states: map[string]batch.MachineState{}, workers: map[string]string{}, backAt: map[string]time.Duration{}, begun: map[string]int{}, orders: map[string][]machineOrder{}}
 	for _, id := range s.fleet.ids() {
 		f.states["m-"+id], f.workers["m-"+id] = batch.MachineUp, id
 	}
@@ -52,6 +60,11 @@
 	if _, ok := f.states[m.Machine]; !ok {
 		return MaintenanceNotDue
 	}
+	f.orders[m.Machine] = append(f.orders[m.Machine], machineOrder{m.Epoch, f.s.fleet.now})
+	if f.drop > 0 {
+		f.drop--
+		return MaintenanceUnknown
+	}
 	if f.begun[m.Machine] == 0 {
 		if f.states[m.Machine] != batch.MachineUp {
 			return MaintenanceBusy
@@ -60,6 +73,7 @@
 		f.states[m.Machine] = batch.MachineInMaintenance
 		f.backAt[m.Machine] = f.s.fleet.now + fakeMaintenance
 		f.s.fleet.lose(f.workers[m.Machine])
+		f.s.fleet.workers[f.workers[m.Machine]].listed = f.listed
 		f.most = max(f.most, len(f.backAt))
 	}
 	if f.lose > 0 {
@@ -153,6 +167,39 @@
 	s.mustHold()
 }
 
+// Guards against an earlier leader whose order arrives after that of the next one, since machines don't always refuse it: the next one has to wait for longer
+// than the earlier one may act.
+func TestLeadersDoNotTakeTurnsOnAMachine(t *testing.T) {
+	s := newSystem(t, 6, 2, 3)
+	f := newFakeMachines(s)
+	w := waveOf(f, 2, 60*time.Second)
+	s.leader().SetWaves([]batch.Wave{w}, s.fleet.now)
+	for range 3 {
+		f.drop = 1
+		for f.drop > 0 {
+			f.run(testStep)
+		}
+		s.elect()
+		s.leader().SetWaves([]batch.Wave{w}, s.fleet.now)
+	}
+	f.run(50 * time.Second)
+	turns := 0
+	for id, orders := range f.orders {
+		for i := 1; i < len(orders); i++ {
+			if before, after := orders[i-1], orders[i]; before.epoch != after.epoch {
+				turns++
+				must.Less(t, after.epoch, before.epoch, must.Sprint(id))
+				must.GreaterEq(t, 3*time.Second, after.at-before.at, must.Sprint(id))
+			}
+		}
+	}
+	must.Positive(t, turns, must.Sprint("no machine was ordered by two leaders"))
+	for _, n := range f.begun {
+		must.Eq(t, 1, n)
+	}
+	must.Eq(t, 6, len(f.begun))
+}
+
 // Guards against maintenance that takes away more tasks of a long-running step than the step may miss.
 func TestWaveLeavesLongRunningStepsTheirTasks(t *testing.T) {
 	s := newSystem(t, 3, 2, 3)
@@ -179,6 +226,24 @@
 	must.Eq(t, []WaveReport{{ID: "1", Completed: true}}, s.leader().TakeWaveReports())
 }
 
+// Guards against starts on a worker whose machine is down while the registry still lists it: such a start gets no answer, and its gang waited 10 s for leases that
+// nobody held.
+func TestNothingStartsOnAMachineThatIsDown(t *testing.T) {
+	s := newSystem(t, 7, 1, 4)
+	f := newFakeMachines(s)
+	f.listed = true
+	s.leader().SetWaves([]batch.Wave{waveOf(f, 2, 10*time.Second)}, s.fleet.now)
+	for i := range 10 {
+		gang := simpleJob(fmt.Sprintf("g%d", i), "normal", 1, 2, batch.Room{MilliCores: 8000, Accelerators: 8})
+		gang.Steps[0].Gang = true
+		s.submit(gang)
+		f.run(time.Second)
+	}
+	f.run(15 * time.Second)
+	s.mustHold()
+	must.Eq(t, 0, s.fleet.toDead, must.Sprint("orders to workers that are gone"))
+}
+
 // Guards against a wave that waits for ever for machines that have left.
 func TestWaveSkipsMachinesThatAreGone(t *testing.T) {
 	s := newSystem(t, 4, 1, 2)
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -134,6 +134,7 @@
 
 	contacted bool          // it has answered under the present epoch
 	silent    bool          // its last read got no answer
+	gone      bool          // its machine was taken down: nothing runs there any more, and it doesn't come back
 	clock     time.Duration // of the worker, in its newest answer
 	clockAt   time.Duration // when that answer arrived
 	leaseEnd  time.Duration // on the worker's clock; no run there lasts longer
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -293,7 +293,7 @@
 
 // usable reports whether a worker may get new work.
 func (c *Core) usable(w *worker, now time.Duration) bool {
-	return w.registered && !w.Draining && !c.closing[w.ID] && w.contacted && !w.silent && now >= w.fullUntil && w.health.trusted(now)
+	return w.registered && !w.Draining && !w.gone && !c.closing[w.ID] && w.contacted && !w.silent && now >= w.fullUntil && w.health.trusted(now)
 }
 
 func (c *Core) addRuns(in *planInput, within map[*job]bool, now time.Duration) {
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -27,6 +27,7 @@
 	outMissing    outcome = "missing"     // the worker doesn't have it
 	outRebooted   outcome = "rebooted"    // the worker started anew
 	outNotOrdered outcome = "not_ordered" // it was never ordered
+	outTakenDown  outcome = "taken_down"  // the machine was taken down for maintenance
 )
 
 var outcomeOf = map[EndKind]outcome{EndDone: outDone, EndFailed: outFailed, EndStopped: outStopped, EndLapsed: outLapsed, EndBroken: outBroken, EndAlone: outAlone}
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -44,6 +44,8 @@
 	Target  string // path and query
 	Header  []Header
 	Body    []byte
+	// Still is asked once the connection is open; if it returns false, nothing is sent. Nil means always.
+	Still func() bool
 }
 
 // Header is a header line of a call.
@@ -81,6 +83,10 @@
 	} else {
 		_ = cn.SetDeadline(time.Time{})
 	}
+	if r.Still != nil && !r.Still() {
+		c.put(r.Address, cn)
+		return Response{}, errors.Wrap(ErrNotSent, "too late to send")
+	}
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	resp, keep, err := cn.roundTrip(r)
 	stopped := stop()
