--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -12,8 +12,14 @@
 	// reserveAfter is the wait after which a gang gets workers reserved. Shorter waits usually end by themselves; the figure is a
 	// fraction of the shortest run time of large gangs (11 s).
 	reserveAfter = 2 * time.Second
+	// keepPatience is the wait after which a request may use the room that is kept for urgent work: room that stays free for longer was kept in vain. Urgent work
+	// that comes later takes it back with its claim.
+	keepPatience = 2 * time.Second
 	// maxReservations bounds the workers that stand idle for waiting gangs.
 	maxReservations = 2
+	// crowdedBelow is the free share of the scarcest resource below which workers are reserved. With more free room a reservation only keeps others waiting: the users
+	// expect every task to run while half of the room is free, and the rest allows for what frees up between two plans.
+	crowdedBelow = 0.4
 	// victimCost is added to the lost work of each stopped unit, in core-seconds, so that few victims are preferred to many.
 	victimCost = 20
 )
@@ -114,11 +120,13 @@
 	stopped      []bool
 	reservations int
 	spare        float64 // free room beyond what is kept, core equivalents
+	crowded      bool    // little room is free, so that waiting gangs get workers reserved
 	out          Decision
 }
 
 func newPlanner(in Input) *planner {
 	p := &planner{workers: in.Workers, runs: in.Runs, requests: in.Requests, racks: map[string][]int{}, stopped: make([]bool, len(in.Runs))}
+	var free, total batch.Room
 	for i, w := range in.Workers {
 		if _, ok := p.racks[w.Rack]; !ok {
 			p.rackNames = append(p.rackNames, w.Rack)
@@ -127,8 +135,11 @@
 		p.all = append(p.all, i)
 		if w.Usable {
 			p.spare += max(0, w.Free.CoreEquivalents())
+			free, total = free.Plus(w.Free), total.Plus(w.Capacity)
 		}
 	}
+	p.crowded = !free.Holds(batch.Room{MilliCores: int(crowdedBelow * float64(total.MilliCores)), MemoryMB: int(crowdedBelow * float64(total.MemoryMB)),
+		Accelerators: int(crowdedBelow * float64(total.Accelerators))})
 	p.spare -= in.Keep
 	return p
 }
@@ -153,10 +164,10 @@
 }
 
 // allowed returns how many tasks of the request may start without using the room that is kept. Long-running tasks don't wait for
-// urgent work that may come: they are owed at all times.
+// urgent work that may come: they are owed at all times. Other requests wait for a short time only.
 func (p *planner) allowed(r *Request) int {
 	need := r.Step.Need.CoreEquivalents()
-	if r.Claim || r.Filler || r.Step.LongRunning || need == 0 {
+	if r.Claim || r.Filler || r.Step.LongRunning || need == 0 || r.Waited > keepPatience {
 		return r.Count
 	}
 	n := int(max(0, p.spare) / need)
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -9,7 +9,7 @@
 
 // reserve keeps workers free of later requests, so that a large gang isn't starved by a stream of small ones.
 func (p *planner) reserve(r *Request) {
-	if !r.Gang || r.Waited < reserveAfter || p.reservations >= maxReservations {
+	if !p.crowded || !r.Gang || r.Waited < reserveAfter || p.reservations >= maxReservations {
 		return
 	}
 	workers := p.reservable(r)
