--- a/internal/bench/fleetmodel/fleetmodel_test.go
+++ b/internal/bench/fleetmodel/fleetmodel_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"testing"
 
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 )
 
@@ -97,7 +98,7 @@
 	}
 	for d := xml.NewDecoder(&svg); ; {
 		_, err := d.Token()
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return
 		}
 		must.NoError(t, err)
--- a/internal/bench/fleetmodel/play.go
+++ b/internal/bench/fleetmodel/play.go
@@ -62,15 +62,14 @@
 
 // game is one simulation.
 type game struct {
-	fleet   *fleet
-	core    *dispatch.Core
-	jobs    []arrival
-	next    int // index of the next arrival
-	faults  *rand.Rand
-	ended   map[string]time.Duration
-	planned time.Duration // time of the last plan
-	cost    time.Duration
-	busy    float64 // at the end of the arrivals
+	fleet  *fleet
+	core   *dispatch.Core
+	jobs   []arrival
+	next   int // index of the next arrival
+	faults *rand.Rand
+	ended  map[string]time.Duration
+	cost   time.Duration
+	busy   float64 // at the end of the arrivals
 }
 
 func (g *game) step() {
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -2,22 +2,18 @@
 
 import (
 	"fmt"
-	"io"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
-	"github.com/sirupsen/logrus"
 
 	"samphirewell/internal/batch"
 )
 
 func advisedCore(t *testing.T, workers int, cost batch.Advice) *Core {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	queue := batch.Queue{Name: "q", Service: "svc", Attempts: 3, Advice: &cost}
 	p := (&batch.Policy{Version: 1, Queues: []batch.Queue{queue}}).Index()
-	c := New(1, p, Bounds{LeaseMax: 6 * time.Second}, log)
+	c := New(1, p, Bounds{LeaseMax: 6 * time.Second}, quietLog())
 	var list []batch.Worker
 	for i := range workers {
 		list = append(list, batch.Worker{ID: fmt.Sprintf("w%02d", i), Service: "svc", Address: "a:1", Rack: fmt.Sprintf("r%d", i/8), Boot: 1,
