--- a/internal/bench/fleetmodel/fleetmodel_test.go
+++ b/internal/bench/fleetmodel/fleetmodel_test.go
@@ -70,7 +70,7 @@
 
 // Guards against scenario files whose mistakes show only in strange results.
 func TestScenariosAreChecked(t *testing.T) {
-	for _, bad := range []string{"", "{}", `{"lengthS": 1}`, `{"lengthS": 1, "fleet": {"racks": 1, "workersPerRack": 1, "milliCores": 1, "leaseMaxS": 1}}`,
+	for _, bad := range []string{"", "{}", `{"lengthS": 1}`, `{"lenghtS": 1}`, `{"lengthS": 1, "fleet": {"racks": 1, "workersPerRack": 1, "milliCores": 1, "leaseMaxS": 1}}`,
 		`{"lengthS": 1, "fleet": {"racks": 1, "workersPerRack": 1, "milliCores": 1, "leaseMaxS": 1}, "teams": [{"name": "t", "share": 1}], "classes": [{"name": "c"}]}`} {
 		_, err := ParseScenario([]byte(bad))
 		must.Error(t, err, must.Sprint(bad))
--- a/internal/bench/fleetmodel/scenario.go
+++ b/internal/bench/fleetmodel/scenario.go
@@ -3,6 +3,7 @@
 package fleetmodel
 
 import (
+	"bytes"
 	"encoding/json"
 
 	"github.com/pkg/errors"
@@ -100,7 +101,9 @@
 	if err != nil {
 		return s, errors.Wrap(err, "scenario")
 	}
-	if err := json.Unmarshal(plain, &s); err != nil {
+	decoder := json.NewDecoder(bytes.NewReader(plain))
+	decoder.DisallowUnknownFields() // a misspelt field would show only in strange results
+	if err := decoder.Decode(&s); err != nil {
 		return s, errors.Wrap(err, "scenario")
 	}
 	return s, s.check()
--- a/internal/cli/examples_test.go
+++ b/internal/cli/examples_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"samphirewell/internal/api"
+	"samphirewell/internal/bench/fleetmodel"
 	"samphirewell/internal/config"
 	"samphirewell/internal/settings"
 )
@@ -34,6 +35,10 @@
 			s, err := settings.Decode(path, text)
 			must.NoError(t, err)
 			must.Eq(t, s.HostID+".json", name)
+		case filepath.Base(filepath.Dir(path)) == "fleet":
+			s, err := fleetmodel.ParseScenario(text)
+			must.NoError(t, err)
+			must.Eq(t, s.Name+".json", name)
 		case name == "lists.json":
 			lists, err := config.ParseLists(path, text)
 			must.NoError(t, err)
