Say whose room is taken, what it costs and how jobs stand against their objective

Stops and lost work are counted by priority, ended jobs by priority and standing (in_time, late, too_late); gauges give the room in use by priority and the free room. 'stopping run' names the claimant, the time run, the work lost and how often the unit was stopped before; 'starting run' the size and the standing. No decision changes.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -224,10 +224,11 @@
 // finish makes a state final and ends what still runs.
 func (c *Core) finish(j *job, s batch.State, now time.Duration) {
 	j.state, j.endedAt = s, now
-	c.counts.Jobs[string(s)]++
+	standing := c.standing(j, now)
+	c.counts.Jobs[JobKey{string(s), j.Queue.Priority, standing.String()}]++
 	c.rows.mark(stateRow(j.ID))
 	c.afterStored(stateRow(j.ID), func() { c.retireJob(j) })
-	c.logJob(j).WithField("after_ms", (now - j.known).Milliseconds()).Info("job ended")
+	c.logJob(j).WithFields(logrus.Fields{"after_ms": (now - j.known).Milliseconds(), "objective_ms": c.objective(j).Milliseconds(), "standing": standing.String()}).Info("job ended")
 	for _, steps := range j.steps {
 		for _, s := range steps {
 			for _, u := range s.units {
--- a/internal/dispatch/counts.go
+++ b/internal/dispatch/counts.go
@@ -5,10 +5,23 @@
 // Counts are what a core has decided and learned since they were last taken.
 type Counts struct {
 	Starts []StartCount
-	Ends   map[string]int     // ends of runs by outcome
-	Stops  map[string]int     // stops of units by reason
-	Lost   map[string]float64 // core-seconds that stops have thrown away, by reason
-	Jobs   map[string]int     // ended jobs by state
+	Ends   map[string]int      // ends of runs by outcome
+	Stops  map[StopKey]int     // stops of units
+	Lost   map[StopKey]float64 // core-seconds that stops have thrown away
+	Jobs   map[JobKey]int      // ended jobs
+}
+
+// StopKey groups stops of units by their reason and the priority of what was stopped.
+type StopKey struct {
+	Reason   string
+	Priority int
+}
+
+// JobKey groups ended jobs.
+type JobKey struct {
+	State    string
+	Priority int
+	Standing string // against the job's objective
 }
 
 // StartCount is the start of a run.
@@ -18,7 +31,7 @@
 }
 
 func newCounts() Counts {
-	return Counts{Ends: map[string]int{}, Stops: map[string]int{}, Lost: map[string]float64{}, Jobs: map[string]int{}}
+	return Counts{Ends: map[string]int{}, Stops: map[StopKey]int{}, Lost: map[StopKey]float64{}, Jobs: map[JobKey]int{}}
 }
 
 // TakeCounts returns what was counted since the last call.
@@ -30,17 +43,19 @@
 
 // Overview is the state of a leader at a moment.
 type Overview struct {
-	Jobs    int            // live jobs
-	Waiting map[int]int    // tasks that are ready and run nowhere, by priority
-	Free    map[string]int // free accelerators of usable workers, by failure domain
-	Usable  map[string]int // workers that may get new work, by failure domain
-	Workers map[string]int // registered workers, by failure domain
-	Leases  int            // workers with runs, whose leases are renewed
+	Jobs    int             // live jobs
+	Waiting map[int]int     // tasks that are ready and run nowhere, by priority
+	Free    map[string]int  // free accelerators of usable workers, by failure domain
+	Usable  map[string]int  // workers that may get new work, by failure domain
+	Workers map[string]int  // registered workers, by failure domain
+	Leases  int             // workers with runs, whose leases are renewed
+	Used    map[int]float64 // room that runs hold, by priority, core equivalents
+	Unused  float64         // free room of usable workers, core equivalents
 }
 
 // Overview returns the state of the leader.
 func (c *Core) Overview(now time.Duration) Overview {
-	o := Overview{Jobs: len(c.live), Waiting: map[int]int{}, Free: map[string]int{}, Usable: map[string]int{}, Workers: map[string]int{}}
+	o := Overview{Jobs: len(c.live), Waiting: map[int]int{}, Free: map[string]int{}, Usable: map[string]int{}, Workers: map[string]int{}, Used: map[int]float64{}}
 	for _, j := range c.live {
 		for _, steps := range j.steps {
 			for _, s := range steps {
@@ -56,6 +71,11 @@
 		if len(w.occupants) > 0 {
 			o.Leases++
 		}
+		for _, occ := range w.occupants {
+			if occ.task != nil {
+				o.Used[occ.task.unit.job.Queue.Priority] += occ.need.CoreEquivalents()
+			}
+		}
 		if !w.registered {
 			continue
 		}
@@ -63,6 +83,7 @@
 		if c.usable(w, now) {
 			o.Usable[w.Domain]++
 			o.Free[w.Domain] += max(0, w.free().Accelerators)
+			o.Unused += max(0, w.free().CoreEquivalents())
 		}
 	}
 	return o
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -58,6 +58,8 @@
 	readySince time.Duration
 	toldAt     time.Duration // when the log last said that it waits
 	finished   bool
+
+	preemptions int // under this leader
 }
 
 func (u *unit) spec() *batch.Step { return &u.job.Steps[u.step] }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -208,8 +208,8 @@
 	c.demand.record(now, use, usableRoom(in.Workers))
 	in.Keep = c.demand.keep(use)
 	d := c.planner(in.Input)
-	for _, i := range d.Stops {
-		c.stopUnit(in.runs[i], now, "preempted")
+	for i, run := range d.Stops {
+		c.preempt(in.runs[run], now, claimantOf(in, d, i))
 	}
 	for _, p := range d.Placements {
 		c.placeAll(in, p, now)
@@ -217,6 +217,14 @@
 	c.tellWaiting(in, now)
 }
 
+// claimantOf returns the job for which a decision stops a run; baselines don't say.
+func claimantOf(in *planInput, d placement.Decision, stop int) string {
+	if stop >= len(d.Claimants) {
+		return ""
+	}
+	return in.units[d.Claimants[stop]][0].job.ID
+}
+
 // tellWaiting logs which units go on waiting and what there was for them, at most once in tellEvery each.
 func (c *Core) tellWaiting(in *planInput, now time.Duration) {
 	free, usable := 0, 0
@@ -234,7 +242,8 @@
 		u.toldAt = now
 		c.logTask(u.tasks[0]).WithFields(logrus.Fields{"waited_ms": r.Waited.Milliseconds(), "tasks": r.Count, "gang": r.Gang, "same_rack": r.Step.SameRack,
 			"accelerators_each": r.Step.Need.Accelerators, "within_guarantee": r.Within, "usable_workers": usable, "free_accelerators": free,
-			"kept_cores": int(in.Keep), "ahead": i}).Info("still waiting for room")
+			"kept_cores": int(in.Keep), "ahead": i,
+			"priority": r.Priority, "standing": c.standing(u.job, now).String(), "preemptions": u.preemptions}).Info("still waiting for room")
 	}
 }
 
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -123,8 +123,19 @@
 
 // stopUnit ends all runs of a unit.
 func (c *Core) stopUnit(u *unit, now time.Duration, reason string) {
+	c.stopUnitFor(u, now, reason, "")
+}
+
+// preempt ends all runs of a unit, whose room a more urgent job takes.
+func (c *Core) preempt(u *unit, now time.Duration, claimant string) {
+	c.stopUnitFor(u, now, "preempted", claimant)
+	u.preemptions++
+}
+
+func (c *Core) stopUnitFor(u *unit, now time.Duration, reason, claimant string) {
+	key := StopKey{reason, u.job.Queue.Priority}
 	if u.active() {
-		c.counts.Stops[reason]++
+		c.counts.Stops[key]++
 	}
 	for _, t := range u.tasks {
 		switch t.phase {
@@ -132,8 +143,10 @@
 			c.logTask(t).WithField("reason", reason).Info("start withdrawn")
 			c.closeRun(t, outNotOrdered, now)
 		case ordered, running:
-			c.logTask(t).WithFields(logrus.Fields{"reason": reason, "percent": t.percent}).Info("stopping run")
-			c.counts.Lost[reason] += c.lossOf(t, now)
+			lost := c.lossOf(t, now)
+			c.counts.Lost[key] += lost
+			c.logTask(t).WithFields(logrus.Fields{"reason": reason, "claimant": claimant, "priority": u.job.Queue.Priority, "percent": t.percent,
+				"ran_ms": (now - t.startedAt).Milliseconds(), "lost_core_s": int(lost), "preemptions": u.preemptions}).Info("stopping run")
 			t.phase, t.stopConfirmed = stopping, false
 			c.orderStop(t, now)
 		}
@@ -185,7 +198,9 @@
 	t.phase, t.startedAt, t.percentAt = ordered, now, now
 	lease := w.clockNow(now) + startLease
 	w.leaseEnd = max(w.leaseEnd, lease)
-	c.logTask(t).WithFields(logrus.Fields{"waited_ms": (now - t.unit.readySince).Milliseconds(), "resume": t.checkpoint != ""}).Info("starting run")
+	c.logTask(t).WithFields(logrus.Fields{"waited_ms": (now - t.unit.readySince).Milliseconds(), "resume": t.checkpoint != "",
+		"priority": t.unit.job.Queue.Priority, "standing": c.standing(t.unit.job, now).String(), "core_equivalents": int(t.unit.spec().Need.CoreEquivalents()),
+		"gang_size": len(t.unit.tasks)}).Info("starting run")
 	c.counts.Starts = append(c.counts.Starts, StartCount{t.unit.job.Queue.Priority, now - t.unit.readySince})
 	c.wakes = append(c.wakes, w.ID)
 	c.orders = append(c.orders, Order{Worker: w.Worker, Epoch: c.epoch, Task: t.name, Run: run, Payload: t.unit.job.Payload,
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -89,6 +89,7 @@
 type Decision struct {
 	Placements []Placement
 	Stops      []int // runs to stop
+	Claimants  []int // for each of Stops, the request that takes its room
 }
 
 // Input is a snapshot of one service. Requests are in the order in which they are served.
@@ -157,7 +158,7 @@
 		return
 	}
 	if r.Claim {
-		p.claim(r, rest)
+		p.claim(i, rest)
 		return
 	}
 	p.reserve(r)
@@ -178,7 +179,8 @@
 }
 
 // claim keeps room that becomes free for the rest of the request, and stops less urgent runs for what is missing.
-func (p *planner) claim(r *Request, rest int) {
+func (p *planner) claim(claimant, rest int) {
+	r := &p.requests[claimant]
 	coming := p.fit(r, rest, soonRoom)
 	p.take(r, coming)
 	rest -= len(coming)
@@ -188,7 +190,7 @@
 	workers, victims, cost := p.makeRoom(r, rest)
 	if cost <= r.Budget {
 		for _, v := range victims {
-			p.stop(v)
+			p.stop(v, claimant)
 		}
 	}
 	// Without the victims too, what is free on these workers waits for the claim.
@@ -207,12 +209,13 @@
 	}
 }
 
-func (p *planner) stop(run int) {
+func (p *planner) stop(run, claimant int) {
 	if p.stopped[run] {
 		return
 	}
 	p.stopped[run] = true
 	p.out.Stops = append(p.out.Stops, run)
+	p.out.Claimants = append(p.out.Claimants, claimant)
 	for _, part := range p.runs[run].Parts {
 		p.workers[part.Worker].Soon = p.workers[part.Worker].Soon.Plus(part.Need)
 	}
