Let a new leader know the ages of the jobs that it takes over

Cause: a leader measured the age of each job from the moment it learned of it, so after a takeover every stored job counted as new, in time and oldest first. The time of acceptance is stored with the job; the age is taken from it. A wrong clock shifts ages by its error and never makes them negative.

--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -365,7 +365,7 @@
 	}
 	sortByAcceptance(jobs)
 	now := h.options.Clock.SinceBoot()
-	core.Restore(jobs, states, tasks, now)
+	core.Restore(jobs, states, tasks, now, h.options.Clock.WallMS())
 	for _, id := range cancels {
 		core.Cancel(id, now)
 	}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -102,7 +102,7 @@
 	seq       int // order of arrival at this leader
 	state     batch.State
 	cancelled bool
-	known     time.Duration // when this leader learned of it
+	known     time.Duration // when it was accepted, or when this leader learned of it; may be before the start of the clock
 	steps     [][]*stepState
 	stepsLeft int
 	endedAt   time.Duration
--- a/internal/dispatch/restore.go
+++ b/internal/dispatch/restore.go
@@ -12,9 +12,9 @@
 	"samphirewell/internal/rowstore"
 )
 
-// Restore takes over what earlier leaders have stored: jobs that were accepted, and the rows of the dispatcher's tables.
-func (c *Core) Restore(jobs []batch.Job, states, tasks []rowstore.Row, now time.Duration) {
-	c.now = now
+// Restore takes over what earlier leaders have stored: jobs that were accepted, and the rows of the dispatcher's tables. wallMS is the time of day.
+func (c *Core) Restore(jobs []batch.Job, states, tasks []rowstore.Row, now time.Duration, wallMS int64) {
+	c.now, c.wall = now, wallMS
 	known := map[string]batch.State{}
 	for _, r := range states {
 		queue, s, _, ok := StateOf(r)
@@ -32,6 +32,7 @@
 			continue
 		}
 		n := c.insert(j, now)
+		n.known = now - ageOf(&j, wallMS)
 		n.state = batch.Pending
 		if s, ok := known[j.ID]; ok {
 			n.state = s
@@ -49,6 +50,11 @@
 	c.log.WithFields(logrus.Fields{"epoch": c.epoch, "jobs": len(c.live), "ended": len(c.ended), "task_rows": len(tasks)}).Info("took over jobs")
 }
 
+// ageOf returns the time since the acceptance of a job. Clocks that disagree make it wrong by their difference, but never negative.
+func ageOf(j *batch.Job, wallMS int64) time.Duration {
+	return max(0, time.Duration(wallMS-j.AcceptedMS)*time.Millisecond)
+}
+
 func (c *Core) restoreChunk(r rowstore.Row, now time.Duration) {
 	if id, ok := strings.CutPrefix(r.Key.Key, waveKeyPrefix); ok {
 		c.restoreWave(r, id)
--- a/internal/dispatch/system_test.go
+++ b/internal/dispatch/system_test.go
@@ -82,7 +82,7 @@
 	states, _, _ = rowstore.ScanAll(context.Background(), s.store, TableStates, []string{Part})
 	tasks, _, _ := rowstore.ScanAll(context.Background(), s.store, TableTasks, []string{Part})
 	core := New(session.Epoch(), testPolicy(), testBounds, quietLog())
-	core.Restore(s.inbox, states, tasks, s.fleet.now)
+	core.Restore(s.inbox, states, tasks, s.fleet.now, s.fleet.now.Milliseconds())
 	for _, id := range s.cancels {
 		core.Cancel(id, s.fleet.now)
 	}
