Learn no run times from runs that an earlier leader started

After a takeover jobs were judged late though they could be in time, and waited behind others.

Cause: the start of a run that a leader takes over counts from the takeover, and its end taught the leader that time as a whole run, often some milliseconds. The first such end became the mean of its queue, and objectives, budgets of claims and the rest of runs on draining workers are worked out from it. Run times are learned only from runs that the leader started; until then the estimate of the job holds.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -38,6 +38,7 @@
 	percentAt     time.Duration // when percent last changed
 	startedAt     time.Duration // when the run was confirmed
 	startPercent  int
+	inherited     bool          // an earlier leader started the run
 	confirmed     bool          // the worker has answered the start
 	confirmedAt   time.Duration // a list of the worker that was asked for later shows the run, if it is there
 	stopConfirmed bool
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -30,3 +30,23 @@
 	s.mustHold()
 	must.Eq(t, batch.Completed, s.state("fresh"), must.Sprint("8 jobs past three times their objective were served before it"))
 }
+
+// Guards against run times that a new leader learns from runs whose start it hasn't seen: a few milliseconds each, so that every job seemed late.
+func TestInheritedRunsTeachNoRunTimes(t *testing.T) {
+	s := newSystem(t, 1, 1, 2)
+	for _, id := range []string{"a", "b"} {
+		s.submit(simpleJob(id, "normal", 1, 1, batch.Room{MilliCores: 1000, Accelerators: 8}))
+	}
+	s.run(400 * time.Millisecond)
+	s.elect()
+	s.run(5 * time.Second)
+	s.mustHold()
+	must.Eq(t, batch.Completed, s.state("a"))
+	must.Eq(t, batch.Completed, s.state("b"))
+	learned, ok := s.leaders[1].core.times["normal"]
+	must.False(t, ok, must.Sprintf("learned %v from runs that its predecessor started", learned))
+	s.submit(simpleJob("c", "normal", 1, 1, batch.Room{MilliCores: 1000, Accelerators: 8}))
+	s.run(5 * time.Second)
+	_, ok = s.leaders[1].core.times["normal"]
+	must.True(t, ok, must.Sprint("its own runs teach it"))
+}
--- a/internal/dispatch/restore.go
+++ b/internal/dispatch/restore.go
@@ -96,7 +96,7 @@
 		t.phase = done
 		u.finished = true
 	case v.Active:
-		t.phase, t.worker, t.boot = running, v.Worker, v.Boot
+		t.phase, t.worker, t.boot, t.inherited = running, v.Worker, v.Boot, true
 		t.confirmed, t.confirmedAt, t.startedAt, t.percentAt = true, now, now, now
 		w := c.workers[v.Worker]
 		if w == nil {
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -75,7 +75,9 @@
 	j := u.job
 	s := j.steps[u.occurrence][u.step]
 	s.left -= len(u.tasks)
-	c.times.learn(j, now-t.startedAt, t.startPercent)
+	if !t.inherited {
+		c.times.learn(j, now-t.startedAt, t.startPercent)
+	}
 	if s.left > 0 || j.ending() {
 		return
 	}
@@ -172,7 +174,7 @@
 	for i, t := range u.tasks {
 		w := workers[i]
 		t.phase, t.worker, t.boot, t.startedAt = assigned, w.ID, w.Boot, now
-		t.percent, t.startPercent, t.confirmed, t.stopConfirmed = 0, 0, false, false
+		t.percent, t.startPercent, t.inherited, t.confirmed, t.stopConfirmed = 0, 0, false, false, false
 		w.occupants[t.key()] = &occupant{task: t, need: u.spec().Need}
 		c.rows.mark(t.row())
 		run := u.run
