Date inherited runs by their progress

Callers lost work that was nearly done: after a takeover an urgent claim stopped a run at 86% and left one that had just begun.

Cause: the victims of a claim are the runs that lose least, and the loss is counted from the start of the run; for every run that a leader takes over that was the takeover. The start is estimated from the progress that the worker reports first and the expected run time.

TestRunsNearTheirEndOutliveATakeover failed before and passes.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -36,7 +36,7 @@
 
 	percent       int
 	percentAt     time.Duration // when percent last changed
-	startedAt     time.Duration // when the run was confirmed
+	startedAt     time.Duration // when the run was confirmed; of an inherited run an estimate from its progress
 	startPercent  int
 	inherited     bool          // an earlier leader started the run
 	confirmed     bool          // the worker has answered the start
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -50,3 +50,33 @@
 	_, ok = s.leaders[1].core.times["normal"]
 	must.True(t, ok, must.Sprint("its own runs teach it"))
 }
+
+// Guards against a new leader that takes all running work for just started, and stops what is nearly done.
+func TestRunsNearTheirEndOutliveATakeover(t *testing.T) {
+	const length = 10 * time.Second
+	s := newSystem(t, 1, 1, 2)
+	submit := func(id, queue string, priority int) {
+		j := simpleJob(id, queue, priority, 1, batch.Room{MilliCores: 1000, Accelerators: 8})
+		j.Steps[0].Estimate = length
+		s.submit(j)
+		s.run(200 * time.Millisecond)
+		for _, w := range s.fleet.workers {
+			for name, r := range w.running {
+				if name == id+".0.0.0" {
+					r.work, r.left = length, length
+				}
+			}
+		}
+	}
+	submit("nearly-done", "normal", 1)
+	s.run(6 * time.Second)
+	submit("begun", "normal", 1)
+	s.run(time.Second)
+	s.elect()
+	s.run(time.Second)
+	submit("urgent", "urgent", 0)
+	s.run(2 * time.Second)
+	s.mustHold()
+	must.MapContainsKey(t, s.fleet.begun, "urgent")
+	must.Eq(t, batch.Completed, s.state("nearly-done"))
+}
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -238,7 +238,11 @@
 	}
 	t.unit.saveCheckpoint(t, run.Checkpoint)
 	if run.Percent != t.percent {
-		if t.percent == 0 && t.startPercent == 0 {
+		switch {
+		case t.percent > 0 || t.startPercent > 0:
+		case t.inherited:
+			t.startedAt = now - time.Duration(float64(c.runTime(&t.unit.job.Job, t.unit.step))*float64(run.Percent)/100)
+		default:
 			t.startPercent = run.Percent
 		}
 		t.percent, t.percentAt = run.Percent, now
