Let waits go on across a takeover

Urgent work that was handed in before a takeover was started later than work handed in after it, and waiting gangs lost their turn to get workers reserved.

Cause: the leader counted the wait of each task from the takeover. Room that is kept for urgent work, reservations, racks and the budget of a claim are given by the wait. The wait of a task that never ran counts from the acceptance of its job now; one that has run counts from the takeover, since the end of that run isn't stored.

TestWaitsGoOnAcrossATakeover failed before (0 s instead of 300 ms) and passes.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -295,12 +295,16 @@
 	s, spec := j.steps[k][step], &j.Steps[step]
 	s.opened, s.openedAt = true, now
 	c.dirty = true
+	ready := now
+	if len(spec.After) == 0 && j.Schedule == nil {
+		ready = j.known
+	}
 	if spec.Gang {
-		s.units = []*unit{newUnit(j, k, step, 0, spec.Tasks, now)}
+		s.units = []*unit{newUnit(j, k, step, 0, spec.Tasks, ready)}
 		return
 	}
 	for i := range spec.Tasks {
-		s.units = append(s.units, newUnit(j, k, step, i, 1, now))
+		s.units = append(s.units, newUnit(j, k, step, i, 1, ready))
 	}
 }
 
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -80,3 +80,17 @@
 	must.MapContainsKey(t, s.fleet.begun, "urgent")
 	must.Eq(t, batch.Completed, s.state("nearly-done"))
 }
+
+// Guards against waits that begin anew with each leader, so that urgent work within a guarantee is late and gangs get no workers reserved.
+func TestWaitsGoOnAcrossATakeover(t *testing.T) {
+	s := newSystem(t, 1, 1, 1)
+	need := batch.Room{MilliCores: 1000, Accelerators: 8}
+	s.submit(simpleJob("runs", "normal", 1, 1, need))
+	s.run(200 * time.Millisecond)
+	s.submit(simpleJob("waits", "normal", 1, 1, need))
+	s.run(300 * time.Millisecond)
+	s.elect()
+	waited := func(id string) time.Duration { return s.fleet.now - s.leaders[1].core.jobs[id].steps[0][0].units[0].readySince }
+	must.Eq(t, 300*time.Millisecond, waited("waits"))
+	must.Eq(t, 0, waited("runs"))
+}
--- a/internal/dispatch/restore.go
+++ b/internal/dispatch/restore.go
@@ -86,6 +86,9 @@
 
 func (c *Core) restoreTask(t *task, v taskValue, now time.Duration) {
 	u := t.unit
+	if v.Run > 0 {
+		u.readySince = now
+	}
 	u.run = max(u.run, v.Run)
 	t.checkpoint = v.Checkpoint
 	if len(v.Failed) > len(u.failed) {
