--- a/internal/bench/fleetmodel/fleetmodel_test.go
+++ b/internal/bench/fleetmodel/fleetmodel_test.go
@@ -104,3 +104,24 @@
 		must.NoError(t, err)
 	}
 }
+
+// Guards against takeovers that lose jobs, or tasks that wait for ever for runs of the earlier leader.
+func TestEveryJobOutlivesTakeovers(t *testing.T) {
+	s := load(t, "orchards-peak")
+	s.LengthS, s.SettleS, s.Bursts, s.Faults = 20, 60, nil, Faults{}
+	for i := range s.Classes {
+		s.Classes[i].PerSecond *= 0.2
+		s.Classes[i].ErrorShare = 0
+	}
+	s.Takeovers = []Takeover{{AtS: 6, ForS: 1}, {AtS: 7.5, ForS: 0.5}, {AtS: 15, ForS: 3}}
+	must.NoError(t, s.check())
+	for seed := range uint64(4) {
+		g := s.game(seed, Policies()[0])
+		for _, a := range g.jobs {
+			_, ok := g.completed(a.job.ID)
+			must.True(t, ok || a.poison || a.cancelAt > 0, must.Sprintf("seed %d: %s is %s", seed, a.job.ID, g.core.JobState(a.job.ID).State))
+		}
+	}
+	s.Takeovers[2].ForS = s.LengthS
+	must.Error(t, s.check())
+}
--- a/internal/bench/fleetmodel/play.go
+++ b/internal/bench/fleetmodel/play.go
@@ -1,14 +1,18 @@
 package fleetmodel
 
 import (
+	"cmp"
 	"io"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"samphirewell/internal/batch"
 	"samphirewell/internal/dispatch"
+	"samphirewell/internal/rowstore"
 )
 
 const (
@@ -45,25 +49,28 @@
 
 // play lets a policy serve the arrivals of a seed.
 func (s *Scenario) play(seed uint64, p Policy) Result {
+	return s.game(seed, p).result(s)
+}
+
+// game plays a seed to its end.
+func (s *Scenario) game(seed uint64, p Policy) *game {
 	jobs := s.arrivals(seed)
 	f := newFleet(s, seed, jobs)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	log.SetLevel(logrus.PanicLevel)
-	core := dispatch.New(1, s.policy(), dispatch.Bounds{LeaseMax: seconds(s.Fleet.LeaseMaxS), StopMax: seconds(s.Fleet.StopMaxS)}, log)
-	core.SetWorkers(f.list(), 0)
-	p.set(core, jobs)
-	g := &game{fleet: f, core: core, jobs: jobs, faults: rand.New(rand.NewPCG(seed, 1<<33)), ended: map[string]time.Duration{}}
+	g := &game{fleet: f, policy: p, jobs: jobs, faults: rand.New(rand.NewPCG(seed, 1<<33)), ended: map[string]time.Duration{}, stored: map[rowstore.Key]rowstore.Row{}}
+	g.lead()
 	for end := seconds(s.LengthS + s.SettleS); f.now < end; {
 		g.step()
 	}
-	return g.result(s)
+	return g
 }
 
 // game is one simulation.
 type game struct {
 	fleet  *fleet
-	core   *dispatch.Core
+	policy Policy
+	core   *dispatch.Core // nil while nobody leads
+	epoch  uint64
+	stored map[rowstore.Key]rowstore.Row
 	jobs   []arrival
 	next   int // index of the next arrival
 	faults *rand.Rand
@@ -73,9 +80,66 @@
 }
 
 func (g *game) step() {
-	f, c := g.fleet, g.core
+	f := g.fleet
 	f.advance(stepTime)
 	g.breakWorkers()
+	if g.isLeaderLost() {
+		g.core = nil
+	} else if g.core == nil {
+		g.lead()
+	}
+	if g.core != nil {
+		g.decide()
+	}
+	if f.now <= seconds(f.scenario.LengthS) {
+		g.busy = f.busy
+	}
+}
+
+func (g *game) isLeaderLost() bool {
+	for _, t := range g.fleet.scenario.Takeovers {
+		if now := g.fleet.now; now >= seconds(t.AtS) && now < seconds(t.AtS+t.ForS) {
+			return true
+		}
+	}
+	return false
+}
+
+// lead makes a host the leader, which takes over what is stored.
+func (g *game) lead() {
+	s, now := g.fleet.scenario, g.fleet.now
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	log.SetLevel(logrus.PanicLevel)
+	g.epoch++
+	g.core = dispatch.New(g.epoch, s.policy(), dispatch.Bounds{LeaseMax: seconds(s.Fleet.LeaseMaxS), StopMax: seconds(s.Fleet.StopMaxS)}, log)
+	g.core.SetWorkers(g.fleet.list(), now)
+	g.policy.set(g.core, g.jobs)
+	var states, tasks []rowstore.Row
+	for _, key := range slices.SortedFunc(maps.Keys(g.stored), func(a, b rowstore.Key) int { return cmp.Compare(a.Key, b.Key) }) {
+		if key.Table == dispatch.TableStates {
+			states = append(states, g.stored[key])
+		} else {
+			tasks = append(tasks, g.stored[key])
+		}
+	}
+	for g.next < len(g.jobs) && g.jobs[g.next].at <= now {
+		g.next++
+	}
+	var accepted []batch.Job
+	for _, a := range g.jobs[:g.next] {
+		accepted = append(accepted, a.job)
+	}
+	g.core.Restore(accepted, states, tasks, now, now.Milliseconds())
+	for _, a := range g.jobs[:g.next] {
+		if a.cancelAt > 0 && a.cancelAt <= now {
+			g.core.Cancel(a.job.ID, now)
+		}
+	}
+}
+
+func (g *game) decide() {
+	f, c := g.fleet, g.core
 	for ; g.next < len(g.jobs) && g.jobs[g.next].at <= f.now; g.next++ {
 		c.AddJob(g.jobs[g.next].job, f.now)
 	}
@@ -91,6 +155,7 @@
 	c.Plan(f.now)
 	g.cost += time.Since(began)
 	for cm := c.TakeCommit(); cm != nil; cm = c.TakeCommit() {
+		g.store(cm)
 		c.Stored(cm, f.now)
 	}
 	for _, o := range c.TakeOrders() {
@@ -102,10 +167,18 @@
 	}
 	c.TakeWakes()
 	for _, e := range c.TakeRetired() {
-		g.ended[e.ID] = f.now
+		if _, known := g.ended[e.ID]; !known { // a new leader tells of earlier ends again
+			g.ended[e.ID] = f.now
+		}
 	}
-	if f.now <= seconds(f.scenario.LengthS) {
-		g.busy = f.busy
+}
+
+func (g *game) store(cm *dispatch.Commit) {
+	for _, r := range cm.Puts {
+		g.stored[r.Key] = r
+	}
+	for _, k := range cm.Removes {
+		delete(g.stored, k)
 	}
 }
 
@@ -128,7 +201,9 @@
 	if g.faults.Float64() < faults.CrashesPerMinute/60*stepTime.Seconds() {
 		w := g.fleet.workers[g.faults.IntN(len(g.fleet.workers))]
 		w.crash()
-		g.core.SetWorkers(g.fleet.list(), g.fleet.now)
+		if g.core != nil {
+			g.core.SetWorkers(g.fleet.list(), g.fleet.now)
+		}
 	}
 	if faults.ForS <= 0 {
 		return
--- a/internal/bench/fleetmodel/scenario.go
+++ b/internal/bench/fleetmodel/scenario.go
@@ -20,6 +20,8 @@
 	Teams   []Team  `json:"teams"`
 	Bursts  []Burst `json:"bursts"`
 	Faults  Faults  `json:"faults"`
+	// Takeovers are the times at which the leading host is lost.
+	Takeovers []Takeover `json:"takeovers"`
 }
 
 // Fleet is the pool of workers; all are equal but for the slow ones.
@@ -94,6 +96,12 @@
 	ForS             float64 `json:"forS"`             // how long workers hang or fail
 }
 
+// Takeover is the loss of the leading host; the next one knows what is stored and what workers say.
+type Takeover struct {
+	AtS  float64 `json:"atS"`
+	ForS float64 `json:"forS"` // until the next host leads
+}
+
 // ParseScenario reads a scenario from JSON with comments and says what is wrong with it.
 func ParseScenario(text []byte) (Scenario, error) {
 	var s Scenario
@@ -128,6 +136,11 @@
 			return errors.Errorf("scenario: burst of the unknown class %q", b.Class)
 		}
 	}
+	for _, t := range s.Takeovers {
+		if t.AtS < 0 || t.ForS <= 0 || t.AtS+t.ForS >= s.LengthS {
+			return errors.New("scenario: takeovers have to end before the last arrival")
+		}
+	}
 	return nil
 }
 
--- a/internal/dispatch/order_test.go
+++ b/internal/dispatch/order_test.go
@@ -90,7 +90,9 @@
 	s.submit(simpleJob("waits", "normal", 1, 1, need))
 	s.run(300 * time.Millisecond)
 	s.elect()
-	waited := func(id string) time.Duration { return s.fleet.now - s.leaders[1].core.jobs[id].steps[0][0].units[0].readySince }
+	waited := func(id string) time.Duration {
+		return s.fleet.now - s.leaders[1].core.jobs[id].steps[0][0].units[0].readySince
+	}
 	must.Eq(t, 300*time.Millisecond, waited("waits"))
 	must.Eq(t, 0, waited("runs"))
 }
