Run gangs that are wider than the rack of their data

Callers of gangs with data on a rack that can't hold the whole gang waited for ever: such a job was never started, whatever room there was.

Cause: a request with data on a rack waited for that rack if it could hold one task; a gang needs all at once. Whether a request waits for its rack is decided in one place now, by what the rack could hold if it were empty, for placing, for claims and for reservations. The latter two each had an answer of their own: workers were kept empty for a gang on racks where it doesn't start, beside tasks that could have used them.

--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -33,7 +33,7 @@
 func (p *planner) fitWhole(r *Request, count int, room roomOf) []int {
 	if r.Step.DataRack != "" {
 		got := p.assign(r, p.racks[r.Step.DataRack], count, room)
-		if len(got) == count || !r.Spread && p.canHold(r, p.racks[r.Step.DataRack], 1) {
+		if len(got) == count || p.waitsForData(r) {
 			return got
 		}
 	}
@@ -49,6 +49,18 @@
 	return nil
 }
 
+// waitsForData reports whether the request runs on the rack of its data only. A gang that is wider than the rack doesn't wait for it.
+func (p *planner) waitsForData(r *Request) bool {
+	if r.Step.DataRack == "" || r.Spread {
+		return false
+	}
+	atOnce := 1
+	if r.Gang {
+		atOnce = r.Count
+	}
+	return p.canHold(r, p.racks[r.Step.DataRack], atOnce)
+}
+
 // bestRack returns the rack that holds all tasks with the least room left over.
 func (p *planner) bestRack(r *Request, count int, room roomOf) ([]int, bool) {
 	best, bestLeft := "", 0.0
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -209,3 +209,30 @@
 		}
 	})
 }
+
+// Guards against a gang that waits for ever for the rack of its data, which has fewer workers than the gang needs.
+func TestGangWiderThanTheRackOfItsDataRuns(t *testing.T) {
+	for _, sameRack := range []bool{false, true} {
+		in := Input{Workers: fleet(2, 4)}
+		in.Requests = []Request{{Step: &batch.Step{Need: eight, Gang: true, SameRack: sameRack, DataRack: "r0"}, Count: 6, Gang: true, Priority: 1}}
+		must.Len(t, 1, Plan(in).Placements)
+	}
+}
+
+// Guards against workers that are kept empty for a gang on racks where it doesn't start.
+func TestWorkersAreReservedWhereTheGangMayRun(t *testing.T) {
+	in := Input{Workers: fleet(2, 4)}
+	for w := range 4 { // the rack of the data is the fuller one
+		occupy(&in, Run{Priority: 1}, w, eight)
+	}
+	for w := range in.Workers[4:] {
+		for range 3 {
+			occupy(&in, Run{Priority: 1}, 4+w, one)
+		}
+	}
+	in.Requests = []Request{{Step: &batch.Step{Need: eight, Gang: true, DataRack: "r0"}, Count: 2, Gang: true, Priority: 1, Waited: 5 * time.Second},
+		{Step: &batch.Step{Need: one}, Count: 20, Priority: 2}}
+	d := Plan(in)
+	must.Len(t, 1, d.Placements)
+	must.Len(t, 20, d.Placements[0].Workers, must.Sprint("tasks beside a gang that waits for another rack"))
+}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -30,13 +30,11 @@
 
 // groups returns the sets of workers in which the request may be placed together.
 func (p *planner) groups(r *Request) [][]int {
-	if !r.Step.SameRack || r.Spread || !p.fitsSomeRack(r) {
-		if r.Step.DataRack != "" && !r.Spread {
-			return [][]int{p.racks[r.Step.DataRack]}
-		}
-		if !r.Step.SameRack {
-			return [][]int{p.all}
-		}
+	if p.waitsForData(r) {
+		return [][]int{p.racks[r.Step.DataRack]}
+	}
+	if !r.Step.SameRack {
+		return [][]int{p.all}
 	}
 	var out [][]int
 	for _, name := range p.rackNames {
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -25,16 +25,9 @@
 
 // reservable returns the fewest workers that could hold the request once the runs there that end have ended: those with the most room now.
 func (p *planner) reservable(r *Request) []int {
-	groups := [][]int{p.all}
-	if r.Step.SameRack && p.fitsSomeRack(r) {
-		groups = groups[:0]
-		for _, name := range p.rackNames {
-			groups = append(groups, p.racks[name])
-		}
-	}
 	var best []int
 	bestRoom := -1.0
-	for _, group := range groups {
+	for _, group := range p.groups(r) {
 		chosen, room := p.emptiest(r, group)
 		if chosen != nil && room > bestRoom {
 			best, bestRoom = chosen, room
