--- a/internal/dispatch/standing.go
+++ b/internal/dispatch/standing.go
@@ -6,9 +6,9 @@
 type standing uint8
 
 const (
-	inTime  standing = iota // can be done within the objective
-	late                    // can be done while it still has some worth
-	tooLate                 // has no worth any more
+	inTime  standing = iota // within its objective
+	late                    // past its objective, with some worth left
+	tooLate                 // without any worth
 )
 
 // String returns the name for logs and metrics.
