Log whether a waiting job lacks room on one rack or in the whole fleet

"still waiting for room" now has fit_fleet and fit_rack (tasks that fitted on the free capacity of the fleet and of one rack before the cycle), left_fleet and left_rack (what earlier requests left), data_rack and avoided_workers. Decisions are unchanged. TestRoomIsCountedByRackAndInTheFleet checks the counts; tests of placement and dispatch pass.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -208,6 +208,11 @@
 	usage := urgentUsage(in.workers)
 	c.urgentDemand.record(now, usage, usableCapacity(in.Workers))
 	in.Headroom = c.urgentDemand.headroom(usage)
+	due := dueWaitLogs(in, now)
+	var before []placement.Worker
+	if len(due) > 0 {
+		before = slices.Clone(in.Workers) // the planner deducts what it allocates and reserves
+	}
 	d := c.planner(in.Input)
 	for i, run := range d.Preempted {
 		c.preempt(in.runGroups[run], now, preemptorOf(in, d, i))
@@ -215,7 +220,7 @@
 	for _, p := range d.Placements {
 		c.applyPlacement(in, p, now)
 	}
-	c.logWaiting(in, now)
+	c.logWaiting(in, due, before, now)
 }
 
 // preemptorOf returns the id of the job for which a decision preempts a run. It is empty if the planner doesn't report it, as baseline policies
@@ -227,8 +232,19 @@
 	return in.requestGroups[d.Preemptors[victim]][0].job.ID
 }
 
-// logWaiting logs the task groups that still wait and the capacity that was available to them, at most once in waitLogInterval for each.
-func (c *Core) logWaiting(in *planInput, now time.Duration) {
+// dueWaitLogs returns the requests whose wait is logged in this cycle if they aren't placed, at most once in waitLogInterval for each.
+func dueWaitLogs(in *planInput, now time.Duration) []int {
+	var due []int
+	for i, r := range in.Requests {
+		if r.WaitTime >= waitLogInterval && now-in.requestGroups[i][0].waitLoggedAt >= waitLogInterval {
+			due = append(due, i)
+		}
+	}
+	return due
+}
+
+// logWaiting logs the due requests that still wait, the capacity before the cycle and what earlier requests left of it.
+func (c *Core) logWaiting(in *planInput, due []int, before []placement.Worker, now time.Duration) {
 	free, usable := 0, 0
 	for _, w := range in.Workers {
 		if w.Usable {
@@ -236,15 +252,17 @@
 			free += max(0, w.Free.Accelerators)
 		}
 	}
-	for i, r := range in.Requests {
-		g := in.requestGroups[i][0]
-		if !g.ready() || r.WaitTime < waitLogInterval || now-g.waitLoggedAt < waitLogInterval {
+	for _, i := range due {
+		r, g := &in.Requests[i], in.requestGroups[i][0]
+		if !g.ready() {
 			continue
 		}
 		g.waitLoggedAt = now
+		atFirst, left := placement.RoomFor(r, before), placement.RoomFor(r, in.Workers)
 		c.logTask(g.tasks[0]).WithFields(logrus.Fields{"waited_ms": r.WaitTime.Milliseconds(), "tasks": r.Count, "gang": r.Gang, "same_rack": r.Step.SameRack,
-			"accelerators_each": r.Step.Need.Accelerators, "within_guarantee": r.WithinGuarantee, "usable_workers": usable, "free_accelerators": free,
-			"kept_cores": int(in.Headroom), "ahead": i,
+			"data_rack": r.Step.DataRack, "accelerators_each": r.Step.Need.Accelerators, "within_guarantee": r.WithinGuarantee, "usable_workers": usable,
+			"free_accelerators": free, "fit_fleet": atFirst.Fleet, "fit_rack": atFirst.Rack, "left_fleet": left.Fleet, "left_rack": left.Rack,
+			"avoided_workers": len(r.AvoidedWorkers), "kept_cores": int(in.Headroom), "ahead": i,
 			"priority": r.Priority, "standing": c.objectiveStatus(g.job, now).String(), "preemptions": g.preemptions}).Info("still waiting for room")
 	}
 }
--- /dev/null
+++ b/internal/placement/room.go
@@ -0,0 +1,25 @@
+package placement
+
+// Room is the number of tasks of a request that fit on free capacity, at most as many as the request has.
+type Room struct {
+	Fleet int // on all workers together
+	Rack  int // on the rack of the data, or else on the rack with the most room
+}
+
+// RoomFor returns how many tasks of a request fit on the free capacity of the workers.
+func RoomFor(r *Request, workers []Worker) Room {
+	p := &planner{workers: workers}
+	fleet, racks := 0, map[string]int{}
+	for w := range workers {
+		n := p.fitCount(r, w, r.Count, freeCapacity)
+		fleet += n
+		racks[workers[w].Rack] += n
+	}
+	rack := racks[r.Step.DataRack]
+	if r.Step.DataRack == "" {
+		for _, n := range racks {
+			rack = max(rack, n)
+		}
+	}
+	return Room{Fleet: min(fleet, r.Count), Rack: min(rack, r.Count)}
+}
--- /dev/null
+++ b/internal/placement/room_test.go
@@ -0,0 +1,24 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"samphirewell/internal/batch"
+)
+
+// Guards against log lines that don't show whether a gang lacks room on every rack or in the whole fleet.
+func TestRoomIsCountedByRackAndInTheFleet(t *testing.T) {
+	workers := fleet(3, 4)
+	for _, w := range []int{0, 1, 4, 5, 6, 8} {
+		workers[w].Free = workers[w].Free.Minus(oneAccelerator)
+	}
+	gang := &Request{Step: &batch.Step{Need: eightAccelerators, SameRack: true}, Count: 5, Gang: true}
+	must.Eq(t, Room{Fleet: 5, Rack: 3}, RoomFor(gang, workers))
+	gang.Step.DataRack = "r1"
+	must.Eq(t, Room{Fleet: 5, Rack: 1}, RoomFor(gang, workers))
+	workers[9].Usable = false
+	gang.AvoidedWorkers = map[int]bool{10: true, 11: true}
+	must.Eq(t, Room{Fleet: 3, Rack: 1}, RoomFor(gang, workers))
+}
