Log whether workers are reserved for a waiting job and how much capacity is free

The line "still waiting for room" now says whether the cycle reserved workers for the job (reserved), and gives the free share of the scarcest resource (free_percent), which decides whether it may.

placement.Decision lists the requests with reservations, which replaces the planner's counter of them; decisions are unchanged. TestFreeShareIsThatOfTheScarcestResource checks the share.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -220,7 +220,7 @@
 	for _, p := range d.Placements {
 		c.applyPlacement(in, p, now)
 	}
-	c.logWaiting(in, due, before, now)
+	c.logWaiting(in, d, due, before, now)
 }
 
 // preemptorOf returns the id of the job for which a decision preempts a run. It is empty if the planner doesn't report it, as baseline policies
@@ -244,14 +244,11 @@
 }
 
 // logWaiting logs the due requests that still wait, the capacity before the cycle and what earlier requests left of it.
-func (c *Core) logWaiting(in *planInput, due []int, before []placement.Worker, now time.Duration) {
-	free, usable := 0, 0
-	for _, w := range in.Workers {
-		if w.Usable {
-			usable++
-			free += max(0, w.Free.Accelerators)
-		}
+func (c *Core) logWaiting(in *planInput, d placement.Decision, due []int, before []placement.Worker, now time.Duration) {
+	if len(due) == 0 {
+		return
 	}
+	capacity := freeCapacityFields(in, before)
 	for _, i := range due {
 		r, g := &in.Requests[i], in.requestGroups[i][0]
 		if !g.ready() {
@@ -259,14 +256,27 @@
 		}
 		g.waitLoggedAt = now
 		atFirst, left := placement.RoomFor(r, before), placement.RoomFor(r, in.Workers)
-		c.logTask(g.tasks[0]).WithFields(logrus.Fields{"waited_ms": r.WaitTime.Milliseconds(), "tasks": r.Count, "gang": r.Gang, "same_rack": r.Step.SameRack,
-			"data_rack": r.Step.DataRack, "accelerators_each": r.Step.Need.Accelerators, "within_guarantee": r.WithinGuarantee, "usable_workers": usable,
-			"free_accelerators": free, "fit_fleet": atFirst.Fleet, "fit_rack": atFirst.Rack, "left_fleet": left.Fleet, "left_rack": left.Rack,
-			"avoided_workers": len(r.AvoidedWorkers), "kept_cores": int(in.Headroom), "ahead": i,
+		c.logTask(g.tasks[0]).WithFields(capacity).WithFields(logrus.Fields{"waited_ms": r.WaitTime.Milliseconds(), "tasks": r.Count, "gang": r.Gang,
+			"same_rack": r.Step.SameRack, "data_rack": r.Step.DataRack, "accelerators_each": r.Step.Need.Accelerators,
+			"within_guarantee": r.WithinGuarantee, "fit_fleet": atFirst.Fleet, "fit_rack": atFirst.Rack, "left_fleet": left.Fleet,
+			"left_rack": left.Rack, "reserved": slices.Contains(d.Reserved, i), "avoided_workers": len(r.AvoidedWorkers), "ahead": i,
 			"priority": r.Priority, "standing": c.objectiveStatus(g.job, now).String(), "preemptions": g.preemptions}).Info("still waiting for room")
 	}
 }
 
+// freeCapacityFields describes the free capacity of a cycle for log lines.
+func freeCapacityFields(in *planInput, before []placement.Worker) logrus.Fields {
+	free, usable := 0, 0
+	for _, w := range in.Workers {
+		if w.Usable {
+			usable++
+			free += max(0, w.Free.Accelerators)
+		}
+	}
+	return logrus.Fields{"usable_workers": usable, "free_accelerators": free, "free_percent": int(100 * placement.FreeShare(before)),
+		"kept_cores": int(in.Headroom)}
+}
+
 // usableCapacity returns the capacity of the workers that may get new work, in core equivalents.
 func usableCapacity(workers []placement.Worker) float64 {
 	sum := 0.0
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -91,6 +91,7 @@
 	Placements []Placement
 	Preempted  []int // runs to stop, as indexes into Input.Runs
 	Preemptors []int // for each of Preempted, the request that gets its resources, as an index into Input.Requests
+	Reserved   []int // waiting requests for which workers are reserved, as indexes into Input.Requests
 }
 
 // Input is a snapshot of one service. Requests are in the order in which they are served.
@@ -120,7 +121,6 @@
 	allWorkers         []int
 	runsByWorker       [][]int // runs on each worker, cheapest first
 	preempted          []bool
-	reservations       int
 	freeBeyondHeadroom float64 // free capacity beyond the headroom, core equivalents
 	mayReserve         bool    // so little capacity is free that workers are reserved for waiting gangs
 	decision           Decision
@@ -162,7 +162,7 @@
 		p.placeByPreempting(i, rest)
 		return
 	}
-	p.reserve(r)
+	p.reserve(i)
 }
 
 // startLimit returns how many tasks of the request may start now without using the headroom. Long-running tasks may use it, since they are expected
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -8,15 +8,16 @@
 )
 
 // reserve excludes workers from the placement of later requests, so that a stream of small requests doesn't starve a large gang.
-func (p *planner) reserve(r *Request) {
-	if !p.mayReserve || !r.Gang || r.WaitTime < reserveAfter || p.reservations >= maxReservations {
+func (p *planner) reserve(request int) {
+	r := &p.requests[request]
+	if !p.mayReserve || !r.Gang || r.WaitTime < reserveAfter || len(p.decision.Reserved) >= maxReservations {
 		return
 	}
 	workers := p.workersToReserve(r)
 	if workers == nil {
 		return
 	}
-	p.reservations++
+	p.decision.Reserved = append(p.decision.Reserved, request)
 	for _, w := range workers {
 		p.workers[w].Free = batch.Resources{MilliCores: -1, MemoryMB: -1, Accelerators: -1}
 		p.workers[w].FutureFree = p.workers[w].Free
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -1,5 +1,7 @@
 package placement
 
+import "samphirewell/internal/batch"
+
 // Room is the number of tasks of a request that fit on free capacity, at most as many as the request has.
 type Room struct {
 	Fleet int // on all workers together
@@ -23,3 +25,20 @@
 	}
 	return Room{Fleet: min(fleet, r.Count), Rack: min(rack, r.Count)}
 }
+
+// FreeShare returns the free share of the scarcest resource of the usable workers.
+func FreeShare(workers []Worker) float64 {
+	var free, total batch.Resources
+	for _, w := range workers {
+		if w.Usable {
+			free, total = free.Plus(w.Free), total.Plus(w.Capacity)
+		}
+	}
+	share := 1.0
+	for _, r := range [][2]int{{free.MilliCores, total.MilliCores}, {free.MemoryMB, total.MemoryMB}, {free.Accelerators, total.Accelerators}} {
+		if r[1] > 0 {
+			share = min(share, float64(r[0])/float64(r[1]))
+		}
+	}
+	return share
+}
--- a/internal/placement/room_test.go
+++ b/internal/placement/room_test.go
@@ -22,3 +22,13 @@
 	gang.AvoidedWorkers = map[int]bool{10: true, 11: true}
 	must.Eq(t, Room{Fleet: 3, Rack: 1}, RoomFor(gang, workers))
 }
+
+// Guards against a free share that is not that of the scarcest resource, or that counts unusable workers.
+func TestFreeShareIsThatOfTheScarcestResource(t *testing.T) {
+	workers := fleet(1, 3)
+	workers[0].Free = workers[0].Free.Minus(eightAccelerators)
+	must.Eq(t, 2.0/3, FreeShare(workers))
+	workers[1].Usable = false
+	must.Eq(t, 0.5, FreeShare(workers))
+	must.Eq(t, 1, FreeShare(nil))
+}
