Let gangs span racks while capacity is ample

Cause: the planner waited for a single rack without a limit. Only reservations bring such a rack about, and they end when 40% of each resource is free. From there on a gang started only if the other tasks happened to leave one rack.

Now one condition, hasAmpleCapacity, decides between the two: below 40% of any resource free, workers are reserved; from there on a gang that has waited 2 s runs on several racks, slower, on capacity that would be idle. The free share is brought up to date within a cycle, so that several gangs that start at once don't all take the slow way.

TestGangWaitsForOneRackAtFirst guards the preference.

--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -43,12 +43,18 @@
 	if rack, ok := p.bestRack(r, count, capacityOf); ok {
 		return p.assign(r, rack, count, capacityOf)
 	}
-	if r.MaySpanRacks || !p.fitsEmptyRack(r) {
+	if p.mayLeaveRack(r) || !p.fitsEmptyRack(r) {
 		return p.assign(r, p.allWorkers, count, capacityOf)
 	}
 	return nil
 }
 
+// mayLeaveRack reports whether the request may run outside the single rack or the data's rack that its step prefers, where it runs slower. While
+// capacity is scarce, waiting for that rack saves capacity.
+func (p *planner) mayLeaveRack(r *Request) bool {
+	return r.MaySpanRacks || r.WaitTime > localityWaitLimit && p.hasAmpleCapacity()
+}
+
 // restrictedToDataRack reports whether the request may run only on the rack of its data. A gang that would not fit even if that rack were empty may
 // run elsewhere.
 func (p *planner) restrictedToDataRack(r *Request) bool {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -17,10 +17,13 @@
 	headroomWaitLimit = 2 * time.Second
 	// maxReservations is the largest number of gangs per cycle for which workers are reserved. It bounds the workers that stay idle for waiting gangs.
 	maxReservations = 2
-	// reserveBelowFreeShare is the free share of the scarcest resource below which workers are reserved. With more free capacity a reservation only
-	// keeps other requests waiting: the users expect every task to run while half of the capacity is free. The difference between the half and this
-	// value allows for capacity that becomes free between two cycles.
-	reserveBelowFreeShare = 0.4
+	// ampleFreeShare is the free share of the scarcest resource from which requests may leave the racks that they prefer, and below which workers are
+	// reserved instead. With more free capacity a reservation only keeps other requests waiting: the users expect every task to run while half of the
+	// capacity is free. The difference between the half and this value allows for capacity that becomes free between two cycles.
+	ampleFreeShare = 0.4
+	// localityWaitLimit is the wait after which a request may leave the racks that it prefers. The users expect a task to start within 3 s while
+	// capacity is ample.
+	localityWaitLimit = 2 * time.Second
 	// victimCost is added to the lost work of each preempted run, in core-seconds, so that few victims are preferred to many.
 	victimCost = 20
 )
@@ -121,14 +124,13 @@
 	allWorkers         []int
 	runsByWorker       [][]int // runs on each worker, cheapest first
 	preempted          []bool
-	freeBeyondHeadroom float64 // free capacity beyond the headroom, core equivalents
-	mayReserve         bool    // so little capacity is free that workers are reserved for waiting gangs
+	freeBeyondHeadroom float64         // free capacity beyond the headroom, core equivalents
+	free, total        batch.Resources // of the usable workers
 	decision           Decision
 }
 
 func newPlanner(in Input) *planner {
 	p := &planner{workers: in.Workers, runs: in.Runs, requests: in.Requests, racks: map[string][]int{}, preempted: make([]bool, len(in.Runs))}
-	var free, total batch.Resources
 	for i, w := range in.Workers {
 		if _, ok := p.racks[w.Rack]; !ok {
 			p.rackNames = append(p.rackNames, w.Rack)
@@ -137,15 +139,16 @@
 		p.allWorkers = append(p.allWorkers, i)
 		if w.Usable {
 			p.freeBeyondHeadroom += max(0, w.Free.CoreEquivalents())
-			free, total = free.Plus(w.Free), total.Plus(w.Capacity)
+			p.free, p.total = p.free.Plus(w.Free), p.total.Plus(w.Capacity)
 		}
 	}
-	p.mayReserve = !free.Covers(batch.Resources{MilliCores: int(reserveBelowFreeShare * float64(total.MilliCores)), MemoryMB: int(reserveBelowFreeShare * float64(total.MemoryMB)),
-		Accelerators: int(reserveBelowFreeShare * float64(total.Accelerators))})
 	p.freeBeyondHeadroom -= in.Headroom
 	return p
 }
 
+// hasAmpleCapacity reports whether at least ampleFreeShare of each resource is free.
+func (p *planner) hasAmpleCapacity() bool { return freeShare(p.free, p.total) >= ampleFreeShare }
+
 // planRequest places the tasks of a request that fit, and preempts runs or reserves workers for the rest.
 func (p *planner) planRequest(i int) {
 	r := &p.requests[i]
@@ -203,6 +206,7 @@
 func (p *planner) allocate(r *Request, workers []int) {
 	p.freeBeyondHeadroom -= float64(len(workers)) * r.Step.Need.CoreEquivalents()
 	for _, w := range workers {
+		p.free = p.free.Minus(r.Step.Need)
 		p.workers[w].Free = p.workers[w].Free.Minus(r.Step.Need)
 		p.workers[w].FutureFree = p.workers[w].FutureFree.Minus(r.Step.Need)
 		if r.Step.MaxPerWorker > 0 {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -138,6 +138,35 @@
 	must.Eq(t, 28, len(plan(1).Placements[0].Workers), must.Sprint("nothing is reserved while most of the capacity is free"))
 }
 
+// Guards against a gang that neither spans racks nor gets workers reserved while no single rack has room for it.
+func TestGangSpansRacksOrReservesWorkers(t *testing.T) {
+	for occupied := range emptyWorker.Accelerators + 1 { // on one worker of each rack
+		in := Input{Workers: fleet(4, 2)}
+		for w := 0; w < len(in.Workers); w += 2 {
+			for range occupied {
+				occupy(&in, Run{Priority: 2}, w, oneAccelerator)
+			}
+		}
+		fits := in.Workers[0].Free.Covers(eightAccelerators)
+		in.Requests = []Request{{Step: &batch.Step{Need: eightAccelerators, Gang: true, SameRack: true}, Count: 2, Gang: true, Priority: 1,
+			WaitTime: 5 * time.Second}}
+		d := Plan(in)
+		must.Eq(t, 1, len(d.Placements)+len(d.Reserved), must.Sprintf("%d accelerators of half of the workers occupied", occupied))
+		must.True(t, fits || len(d.Reserved) == 1 || len(racksOf(in, d.Placements[0].Workers)) == 2)
+	}
+}
+
+// Guards against a gang that runs slower on several racks although one may soon have room.
+func TestGangWaitsForOneRackAtFirst(t *testing.T) {
+	in := Input{Workers: fleet(4, 2)}
+	for w := 0; w < len(in.Workers); w += 2 {
+		occupy(&in, Run{Priority: 2}, w, oneAccelerator)
+	}
+	in.Requests = []Request{{Step: &batch.Step{Need: eightAccelerators, Gang: true, SameRack: true}, Count: 2, Gang: true, Priority: 1,
+		WaitTime: localityWaitLimit}}
+	must.SliceEmpty(t, Plan(in).Placements)
+}
+
 // Guards against workers that stay reserved permanently because the long-running tasks on them don't end.
 func TestNothingIsReservedBehindLongRunningTasks(t *testing.T) {
 	in := Input{Workers: fleet(1, 2)}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -41,7 +41,7 @@
 	for _, name := range p.rackNames {
 		out = append(out, p.racks[name])
 	}
-	if r.MaySpanRacks || !p.fitsEmptyRack(r) {
+	if p.mayLeaveRack(r) || !p.fitsEmptyRack(r) {
 		out = append(out, p.allWorkers)
 	}
 	return out
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -34,6 +34,10 @@
 			free, total = free.Plus(w.Free), total.Plus(w.Capacity)
 		}
 	}
+	return freeShare(free, total)
+}
+
+func freeShare(free, total batch.Resources) float64 {
 	share := 1.0
 	for _, r := range [][2]int{{free.MilliCores, total.MilliCores}, {free.MemoryMB, total.MemoryMB}, {free.Accelerators, total.Accelerators}} {
 		if r[1] > 0 {
