Let tasks leave the full rack of their data while capacity is ample

A job whose data is on a rack full of long tasks got nothing while the other racks were idle.

The planner asks the same question as for gangs on one rack, mayLeaveRack: after 2 s, and while 40% of each resource is free, the tasks run elsewhere.

--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -58,7 +58,7 @@
 // restrictedToDataRack reports whether the request may run only on the rack of its data. A gang that would not fit even if that rack were empty may
 // run elsewhere.
 func (p *planner) restrictedToDataRack(r *Request) bool {
-	if r.Step.DataRack == "" || r.MaySpanRacks {
+	if r.Step.DataRack == "" || p.mayLeaveRack(r) {
 		return false
 	}
 	minTasks := 1
