Let long-running tasks leave the full rack of their data however scarce capacity is

A long-running task should be at work all the time, and its callers lose each second in which it isn't.

After localityWaitLimit a long-running task runs outside the rack that it prefers whatever the free share is. TestLongRunningTasksLeaveTheFullRackOfTheirData failed before: not placed on the free worker of another rack.

--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -50,9 +50,9 @@
 }
 
 // mayLeaveRack reports whether the request may run outside the single rack or the data's rack that its step prefers, where it runs slower. While
-// capacity is scarce, waiting for that rack saves capacity.
+// capacity is scarce, waiting for that rack saves capacity; a long-running task should run at all times, however scarce capacity is.
 func (p *planner) mayLeaveRack(r *Request) bool {
-	return r.MaySpanRacks || r.WaitTime > localityWaitLimit && p.hasAmpleCapacity()
+	return r.MaySpanRacks || r.WaitTime > localityWaitLimit && (r.Step.LongRunning || p.hasAmpleCapacity())
 }
 
 // restrictedToDataRack reports whether the request may run only on the rack of its data. A gang that would not fit even if that rack were empty may
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -167,6 +167,17 @@
 	must.SliceEmpty(t, Plan(in).Placements)
 }
 
+// Guards against long-running tasks that wait for the rack of their data while capacity is scarce but sufficient elsewhere.
+func TestLongRunningTasksLeaveTheFullRackOfTheirData(t *testing.T) {
+	in := Input{Workers: fleet(4, 2)}
+	for w := range len(in.Workers) - 1 {
+		occupy(&in, Run{Priority: 2}, w, eightAccelerators)
+	}
+	in.Requests = []Request{{Step: &batch.Step{Need: oneAccelerator, LongRunning: true, DataRack: "r0"}, Count: 1, Priority: 1,
+		WaitTime: 3 * time.Second}}
+	must.Eq(t, []Placement{{0, []int{7}}}, Plan(in).Placements)
+}
+
 // Guards against workers that stay reserved permanently because the long-running tasks on them don't end.
 func TestNothingIsReservedBehindLongRunningTasks(t *testing.T) {
 	in := Input{Workers: fleet(1, 2)}
