Don't wait for a rack that long-running tasks keep too full

Whether a request may ever fit on one rack was asked of the rack's whole capacity. Long-running tasks end only when their jobs are cancelled, so a gang could wait for a rack that never has room, and with less than 40% of the capacity free nothing ended that wait: no worker can be reserved there either.

The question is asked of what long-running tasks leave, as reservations already do. TestRacksFullOfLongRunningTasksAreNotWaitedFor failed before, for a gang on one rack and for tasks near their data.

--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -13,7 +13,6 @@
 func freeCapacity(w *Worker) batch.Resources           { return w.Free }
 func futureFreeCapacity(w *Worker) batch.Resources     { return w.FutureFree }
 func eventuallyFreeCapacity(w *Worker) batch.Resources { return w.EventuallyFree }
-func totalCapacity(w *Worker) batch.Resources          { return w.Capacity }
 
 // fit returns a worker for each of count tasks. A gang gets all or none; of other requests as many tasks are placed as fit.
 func (p *planner) fit(r *Request, count int, capacityOf capacityFunc) []int {
@@ -55,8 +54,8 @@
 	return r.MaySpanRacks || r.WaitTime > localityWaitLimit && (r.Step.LongRunning || p.hasAmpleCapacity())
 }
 
-// restrictedToDataRack reports whether the request may run only on the rack of its data. A gang that would not fit even if that rack were empty may
-// run elsewhere.
+// restrictedToDataRack reports whether the request may run only on the rack of its data. A gang that would not fit even if that rack ran nothing but its
+// long-running tasks may run elsewhere.
 func (p *planner) restrictedToDataRack(r *Request) bool {
 	if r.Step.DataRack == "" || p.mayLeaveRack(r) {
 		return false
@@ -89,7 +88,7 @@
 	return p.racks[best], best != ""
 }
 
-// fitsEmptyRack reports whether the whole request would fit on some rack if it were empty.
+// fitsEmptyRack reports whether the whole request would fit on some rack if that ran nothing but its long-running tasks.
 func (p *planner) fitsEmptyRack(r *Request) bool {
 	for _, name := range p.rackNames {
 		if p.fitsIfEmpty(r, p.racks[name], r.Count) {
@@ -99,11 +98,11 @@
 	return false
 }
 
-// fitsIfEmpty reports whether count tasks would fit on the workers if these ran nothing else.
+// fitsIfEmpty reports whether count tasks would fit on the workers if these ran nothing but their long-running tasks.
 func (p *planner) fitsIfEmpty(r *Request, workers []int, count int) bool {
 	slots := 0
 	for _, w := range workers {
-		slots += p.fitCount(r, w, count, totalCapacity)
+		slots += p.fitCount(r, w, count, eventuallyFreeCapacity)
 	}
 	return slots >= count
 }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -178,6 +178,29 @@
 	must.Eq(t, []Placement{{0, []int{7}}}, Plan(in).Placements)
 }
 
+// Guards against requests that wait for a rack on which long-running tasks leave too little room for good.
+func TestRacksFullOfLongRunningTasksAreNotWaitedFor(t *testing.T) {
+	gang := &batch.Step{Need: eightAccelerators, Gang: true, SameRack: true}
+	nearData := &batch.Step{Need: eightAccelerators, DataRack: "r0"}
+	for _, step := range []*batch.Step{gang, nearData} {
+		in := Input{Workers: fleet(4, 2)}
+		for w := range in.Workers {
+			switch {
+			case w%2 == 0: // a long-running task
+				occupy(&in, Run{Priority: 2}, w, eightAccelerators)
+				in.Workers[w].EventuallyFree = in.Workers[w].EventuallyFree.Minus(eightAccelerators)
+			case w == 1 || w == 7:
+				occupy(&in, Run{Priority: 2}, w, eightAccelerators)
+			}
+		}
+		if !step.Gang {
+			in.Workers[1].EventuallyFree = in.Workers[1].EventuallyFree.Minus(eightAccelerators)
+		}
+		in.Requests = []Request{{Step: step, Count: 2, Gang: step.Gang, Priority: 1, WaitTime: time.Minute}}
+		must.Eq(t, []Placement{{0, []int{3, 5}}}, Plan(in).Placements)
+	}
+}
+
 // Guards against workers that stay reserved permanently because the long-running tasks on them don't end.
 func TestNothingIsReservedBehindLongRunningTasks(t *testing.T) {
 	in := Input{Workers: fleet(1, 2)}
