--- a/internal/dispatch/starvation_test.go
+++ b/internal/dispatch/starvation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -47,27 +48,46 @@
 	return 2*used.MilliCores < total.MilliCores && 2*used.MemoryMB < total.MemoryMB && 2*used.Accelerators < total.Accelerators
 }
 
-// slots returns how many tasks of a step fit on the workers now, whatever their racks.
-func (f *fakeFleet) slots(step batch.Step) int {
-	n := 0
-	for _, w := range f.workers {
-		if !w.up || w.unreachable || !w.HasLabel(step.Requires) {
+// waitCheck checks that a job starts in time.
+type waitCheck struct {
+	*system
+	job     string
+	allowed map[string]bool // workers that may run the job; nil means all
+	each    func()          // called before every step of the system; may be nil
+	// suspectedToo means that the job has to start even if only workers in quarantine are left.
+	suspectedToo bool
+}
+
+// step returns the last step of the job, which is the one that has to start.
+func (c *waitCheck) step() (int, batch.Step) {
+	steps := c.fleet.jobs[c.job].Steps
+	return len(steps) - 1, steps[len(steps)-1]
+}
+
+// slots returns how many tasks of a step fit now on the workers that the leader may use, whatever their racks.
+func (c *waitCheck) slots(step batch.Step) int {
+	n, core := 0, c.leaders[len(c.leaders)-1].core
+	for _, w := range c.fleet.workers {
+		known := core.workers[w.ID]
+		if !w.up || w.unreachable || !w.HasLabel(step.Requires) || known == nil || c.allowed != nil && !c.allowed[w.ID] ||
+			!core.usable(known, c.fleet.now) && !c.suspectedToo {
 			continue
 		}
 		limit := step.Tasks * roomFactor
 		if step.MaxPerWorker > 0 {
 			limit = step.MaxPerWorker
 		}
-		n += w.Capacity.Minus(batch.Resources(w.used())).FitCount(step.Need, limit)
+		n += max(0, w.Capacity.Minus(batch.Resources(w.used())).FitCount(step.Need, limit))
 	}
 	return n
 }
 
-// hasRuns reports whether a worker runs a task of the job.
-func (f *fakeFleet) hasRuns(job string) bool {
-	for _, w := range f.workers {
+// hasStarted reports whether a worker runs a task of the job's last step.
+func (c *waitCheck) hasStarted() bool {
+	step, _ := c.step()
+	for _, w := range c.fleet.workers {
 		for name := range w.running {
-			if id, _ := batch.ParseTaskID(name); id.Job == job {
+			if id, _ := batch.ParseTaskID(name); id.Job == c.job && id.Step == step {
 				return true
 			}
 		}
@@ -75,44 +95,59 @@
 	return false
 }
 
-// couldRun reports whether the users expect the first step of a job to start: there is room for it roomFactor times over, and most of the fleet is
+// couldRun reports whether the users expect the last step of the job to start: there is room for it roomFactor times over, and most of the fleet is
 // free.
-func (f *fakeFleet) couldRun(job string) bool {
-	step := f.jobs[job].Steps[0]
-	atOnce := 1
+func (c *waitCheck) couldRun() bool {
+	_, step := c.step()
+	for _, a := range step.After {
+		for i := range c.fleet.jobs[c.job].Steps[a].Tasks {
+			if !c.fleet.everDone[c.fleet.groupOf(batch.TaskID{Job: c.job, Step: a, Index: i})] {
+				return false
+			}
+		}
+	}
+	return c.fleet.isMostlyFree() && c.slots(step) >= roomFactor*atOnce(step)
+}
+
+// atOnce returns how many tasks of the step have to start at the same time.
+func atOnce(step batch.Step) int {
 	if step.Gang {
-		atOnce = step.Tasks
+		return step.Tasks
 	}
-	return f.isMostlyFree() && f.slots(step) >= roomFactor*atOnce
+	return 1
 }
 
-// mustStartWhileMostlyFree runs the system until the job starts. It fails if the job could have run for startLimit on end. each is called before every
-// step.
-func (s *system) mustStartWhileMostlyFree(job string, limit time.Duration, each func()) {
+// mustStart runs the system until the job starts and doesn't fail. The check fails if the job could have run for startLimit on end.
+func (c *waitCheck) mustStart(limit time.Duration) {
 	idle := time.Duration(0)
-	for end := s.fleet.now + limit; s.fleet.now < end; {
-		each()
-		s.run(testStep)
-		s.mustHaveNoViolations()
-		if s.fleet.hasRuns(job) {
+	for end := c.fleet.now + limit; c.fleet.now < end; {
+		if c.each != nil {
+			c.each()
+		}
+		c.run(testStep)
+		c.mustHaveNoViolations()
+		started := c.hasStarted()
+		if started && !c.fleet.failingJobs[c.job] {
 			return
 		}
 		idle += testStep
-		if !s.fleet.couldRun(job) {
+		if started || !c.couldRun() {
 			idle = 0
 		}
-		must.LessEq(s.t, startLimit, idle, must.Sprintf("%s doesn't start at %v: %d tasks fit, %d are needed", job, s.fleet.now,
-			s.fleet.slots(s.fleet.jobs[job].Steps[0]), s.fleet.jobs[job].Steps[0].Tasks))
+		_, step := c.step()
+		must.LessEq(c.t, startLimit, idle, must.Sprintf("%s doesn't start at %v: %d tasks fit, %d start at once", c.job, c.fleet.now, c.slots(step), atOnce(step)))
 	}
-	must.Unreachable(s.t, must.Sprintf("%s neither started nor could run for long enough", job))
+	must.Unreachable(c.t, must.Sprintf("%s neither started nor could run for long enough", c.job))
 }
 
-// setRunTime sets the run time of all present runs.
-func (f *fakeFleet) setRunTime(d time.Duration) {
+// setRunTime sets the run time of the present runs of all jobs whose id has the prefix.
+func (f *fakeFleet) setRunTime(prefix string, d time.Duration) {
 	for _, w := range f.workers {
-		for _, r := range w.running {
-			r.left += d - r.work
-			r.work = d
+		for name, r := range w.running {
+			if strings.HasPrefix(name, prefix) {
+				r.left += d - r.work
+				r.work = d
+			}
 		}
 	}
 }
@@ -135,7 +170,7 @@
 	s := newPool(t, racks, perRack)
 	var nextArrival time.Duration
 	arrivals := func() {
-		s.fleet.setRunTime(smallTaskTime)
+		s.fleet.setRunTime("small", smallTaskTime)
 		if s.fleet.now < nextArrival {
 			return
 		}
@@ -146,11 +181,11 @@
 	}
 	arrivals()
 	s.run(2 * testStep)
-	s.fleet.setRunTime(smallTaskTime)
+	s.fleet.setRunTime("small", smallTaskTime)
 	gang := simpleJob("gang", "normal", 1, 10, wideNeed)
 	gang.Steps[0].Gang, gang.Steps[0].SameRack = true, true
 	s.submit(gang)
-	s.mustStartWhileMostlyFree("gang", time.Minute, arrivals)
+	(&waitCheck{system: s, job: "gang", each: arrivals}).mustStart(time.Minute)
 }
 
 // Guards against tasks that wait for the rack of their data without limit while it is full and the other racks are free.
@@ -162,11 +197,167 @@
 				s.submit(smallTasksNearData(fmt.Sprintf("full-%d", len(s.jobs)), 4, 0))
 			}
 			s.run(2 * testStep)
-			s.fleet.setRunTime(time.Minute)
+			s.fleet.setRunTime("full", time.Minute)
 			j := simpleJob("near-data", "normal", 1, 2, wideNeed)
 			j.Steps[0].Gang, j.Steps[0].DataRack = gang, "rack-0"
 			s.submit(j)
-			s.mustStartWhileMostlyFree("near-data", time.Minute, func() {})
+			(&waitCheck{system: s, job: "near-data"}).mustStart(time.Minute)
+		})
+	}
+}
+
+// Guards against tasks of one step that all wait because no rack has room for all of them, though each may start alone.
+func TestTasksStartOneByOneWhileNoRackFitsAll(t *testing.T) {
+	s := newPool(t, 3, 2)
+	j := simpleJob("tasks", "normal", 1, 2, wideNeed)
+	j.Steps[0].SameRack = true
+	for rack := range 3 {
+		s.submit(smallTasksNearData(fmt.Sprintf("small-%d", rack), 1, rack))
+	}
+	s.run(2 * testStep)
+	s.fleet.setRunTime("small", time.Minute)
+	s.submit(j)
+	(&waitCheck{system: s, job: "tasks"}).mustStart(time.Minute)
+}
+
+// Guards against free workers that are kept for urgent work whose victims are too expensive to stop.
+func TestLaterJobsStartWhileUrgentWorkIsTooExpensive(t *testing.T) {
+	s := newPool(t, 1, 4)
+	s.leaders[0].core.preemptionBudget = func(*taskGroup, bool, time.Duration) float64 { return 0 }
+	s.submit(simpleJob("small", "normal", 1, 1, smallTask))
+	s.run(2 * testStep)
+	s.fleet.setRunTime("small", time.Minute)
+	claim := simpleJob("claim", "urgent", 0, 4, wideNeed)
+	claim.Steps[0].Gang = true
+	s.submit(claim)
+	s.submit(simpleJob("later", "normal", 1, 1, wideNeed))
+	(&waitCheck{system: s, job: "later"}).mustStart(time.Minute)
+}
+
+// Guards against a task that never starts again because it failed on all workers that have its label.
+func TestFailedTaskStartsAgainOnTheOnlyWorkerWithItsLabel(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gang=%t", gang), func(t *testing.T) {
+			s := newPool(t, 1, 4)
+			s.fleet.workers["w0-0"].Labels = []string{"fast"}
+			j := simpleJob("fails-once", "normal", 1, 1, smallTask)
+			j.Steps[0].Requires, j.Steps[0].Gang = "fast", gang
+			s.fleet.failingJobs[j.ID] = true
+			s.submit(j)
+			failedOnce := func() {
+				s.fleet.failingJobs[j.ID] = len(s.leaders[0].core.jobs[j.ID].steps[0][0].groups[0].failedRuns) == 0
+			}
+			(&waitCheck{system: s, job: j.ID, each: failedOnce}).mustStart(time.Minute)
 		})
 	}
 }
+
+// Guards against a gang that gets no more advice because the tasks that may not share a worker are counted as fitting on one.
+func TestAdviceIsRequestedUntilTasksThatMayNotShareAWorkerFit(t *testing.T) {
+	const workers = 3 * minAdviceWorkers
+	s := newPool(t, 1, workers)
+	p := testPolicy()
+	p.Version = 2
+	p.Queues[1].Advice = &batch.AdvicePolicy{PerRequest: 10 * time.Millisecond, PerWorker: 10 * time.Millisecond}
+	s.leaders[0].core.SetPolicy(p.Index())
+	j := simpleJob("apart", "normal", 1, minAdviceWorkers, smallTask)
+	j.Steps[0].Gang, j.Steps[0].MaxPerWorker = true, 1
+	c := &waitCheck{system: s, job: j.ID, allowed: map[string]bool{}}
+	for i, id := range s.fleet.ids() {
+		c.allowed[id] = i%3 > 0
+	}
+	c.each = c.advise
+	s.submit(j)
+	c.mustStart(time.Minute)
+}
+
+// adviceValid is the validity of the tickets of the test's adviser.
+const adviceValid = 10 * time.Second
+
+// advise answers the requests of the leader to the adviser, which allows the workers in allowed.
+func (c *waitCheck) advise() {
+	core := c.leaders[len(c.leaders)-1].core
+	for {
+		req, ok := core.NextAdviceRequest(c.fleet.now, []string{""})
+		if !ok {
+			return
+		}
+		a := &Advice{Tickets: map[string]string{}, Valid: adviceValid}
+		for _, id := range req.Workers {
+			if c.allowed[id] {
+				a.Tickets[id] = "ticket"
+			}
+		}
+		core.OnAdvice(req, a, c.fleet.now, c.fleet.now)
+	}
+}
+
+// Guards against a task that waits for the end of the quarantine of all workers that have its label, with nothing else to run on.
+func TestTaskStartsWhileAllWorkersWithItsLabelAreSuspected(t *testing.T) {
+	s := newPool(t, 1, 4)
+	s.fleet.workers["w0-0"].Labels = []string{"fast"}
+	s.fleet.noFaults = false
+	for i := range 2 { // two tasks that fail by their own fault
+		j := simpleJob(fmt.Sprintf("bad-%d", i), "normal", 1, 1, smallTask)
+		j.Queue.Attempts, j.Steps[0].Requires = 1, "fast"
+		s.fleet.failingJobs[j.ID] = true
+		s.submit(j)
+	}
+	s.run(time.Second)
+	j := simpleJob("good", "normal", 1, 1, smallTask)
+	j.Steps[0].Requires = "fast"
+	s.submit(j)
+	(&waitCheck{system: s, job: j.ID, suspectedToo: true}).mustStart(time.Minute)
+}
+
+// Guards against latency-sensitive and best-effort tasks that wait without limit for a worker on which the other kind doesn't run, when there is none.
+func TestServingAndBestEffortTasksStartWhileAllWorkersRunTheOtherKind(t *testing.T) {
+	for _, serves := range []bool{false, true} {
+		t.Run(fmt.Sprintf("serves=%t", serves), func(t *testing.T) {
+			s := newPool(t, 1, 4)
+			setKind := func(j batch.Job, serves bool) batch.Job {
+				step := &j.Steps[0]
+				step.LongRunning, step.BestEffort = serves, !serves
+				if serves {
+					step.LatencyTarget = 100 * time.Millisecond
+				}
+				return j
+			}
+			present := setKind(simpleJob("present", "batch", 2, 4, smallTask), !serves)
+			present.Steps[0].MaxPerWorker = 1
+			s.submit(present)
+			s.run(2 * testStep)
+			s.fleet.setRunTime("present", time.Minute)
+			s.submit(setKind(simpleJob("waiting", "normal", 1, 1, smallTask), serves))
+			(&waitCheck{system: s, job: "waiting"}).mustStart(time.Minute)
+		})
+	}
+}
+
+// Guards against workers that are reserved for a gang because many workers are suspected, while less than half of the fleet is in use.
+func TestNothingIsReservedWhileIdleWorkersAreSuspected(t *testing.T) {
+	const workers, suspected, occupied = 10, 5, 4
+	s := newPool(t, 1, workers)
+	core := s.leaders[0].core
+	full := simpleJob("full", "batch", 2, occupied, wideNeed)
+	s.submit(full)
+	s.run(2 * testStep)
+	s.fleet.setRunTime("full", time.Minute)
+	left := suspected
+	for _, w := range core.sortedWorkers() {
+		if len(w.allocs) == 0 && left > 0 {
+			w.health.addFailure(s.fleet.now, quarantineThreshold)
+			w.health.quarantinedUntil = s.fleet.now + quarantineMax
+			left--
+		}
+	}
+	gang := simpleJob("gang", "normal", 1, 5, wideNeed)
+	gang.Steps[0].Gang = true
+	s.submit(gang)
+	s.run(reservationWait)
+	s.submit(simpleJob("later", "batch", 2, 1, smallTask))
+	(&waitCheck{system: s, job: "later"}).mustStart(time.Minute)
+}
+
+// reservationWait is longer than the wait after which the planner reserves workers for a gang.
+const reservationWait = 2500 * time.Millisecond
