Don't hold ample capacity for urgent work that is too expensive to preempt for

An urgent request whose victims cost more than its budget kept the free workers of its set from all later requests, for as long as its budget took to grow to the cost of the victims.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -197,8 +197,11 @@
 		for _, v := range victims {
 			p.preempt(v, preemptor)
 		}
+	} else if p.hasAmpleCapacity() {
+		return
 	}
-	// The workers are allocated even if preempting the victims costs too much, so that later requests don't use what is free on these workers.
+	// While capacity is scarce, the workers are allocated even if preempting the victims costs too much, so that later requests don't use what is free
+	// on these workers.
 	p.allocate(r, workers)
 }
 
