Use avoided workers if a job can't start on the others

A task isn't placed on workers on which it failed, unless these are more than half of all workers of the service. If only one worker has the label that it requires, or a gang doesn't fit on the rest, it waited for good.

The planner drops the exclusion if the request can't start on the other workers even if these ran nothing but their long-running tasks.

--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -60,11 +60,20 @@
 	if r.Step.DataRack == "" || p.mayLeaveRack(r) {
 		return false
 	}
-	minTasks := 1
+	return p.fitsIfEmpty(r, p.racks[r.Step.DataRack], r.minTasks())
+}
+
+// needsAvoidedWorkers reports whether the request can't start on the other workers even if these ran nothing but their long-running tasks.
+func (p *planner) needsAvoidedWorkers(r *Request) bool {
+	return len(r.AvoidedWorkers) > 0 && !p.fitsIfEmpty(r, p.allWorkers, r.minTasks())
+}
+
+// minTasks returns how many tasks of the request have to start at the same time.
+func (r *Request) minTasks() int {
 	if r.Gang {
-		minTasks = r.Count
+		return r.Count
 	}
-	return p.fitsIfEmpty(r, p.racks[r.Step.DataRack], minTasks)
+	return 1
 }
 
 // bestRack returns the rack on which all tasks fit and whose suitable workers have the least capacity. Racks without suspected workers come first.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -75,7 +75,7 @@
 	Gang             bool
 	TasksPerWorker   map[int]int  // tasks of the same step per worker; not nil and shared by all requests of the step if Step.MaxPerWorker is set
 	AllowedWorkers   map[int]bool // workers that may run it; nil means all
-	AvoidedWorkers   map[int]bool // workers on which it failed; it isn't placed there
+	AvoidedWorkers   map[int]bool // workers on which it failed; it isn't placed there unless the others are too few
 	MaySpanRacks     bool         // may run outside the single rack or the data's rack that its step prefers
 	MayPreempt       bool         // may stop less urgent runs
 	PreemptionBudget float64      // most work that may be lost by preempting runs for it, core-seconds
@@ -106,7 +106,7 @@
 	Headroom float64
 }
 
-// Plan decides one cycle. It changes Free and FutureFree of the workers and TasksPerWorker of the requests.
+// Plan decides one cycle. It changes Free and FutureFree of the workers, and TasksPerWorker and AvoidedWorkers of the requests.
 func Plan(in Input) Decision {
 	p := newPlanner(in)
 	for i := range in.Requests {
@@ -152,6 +152,9 @@
 // planRequest places the tasks of a request that fit, and preempts runs or reserves workers for the rest.
 func (p *planner) planRequest(i int) {
 	r := &p.requests[i]
+	if p.needsAvoidedWorkers(r) {
+		r.AvoidedWorkers = nil
+	}
 	placed := p.fit(r, p.startLimit(r), freeCapacity)
 	if len(placed) > 0 {
 		p.allocate(r, placed)
