Count how many tasks of a step may share a worker when asking for advice

Another way in which a job waits for good beside free capacity: a step whose tasks may not share a worker got no more advice once the free resources of the allowed workers covered its tasks, although only one task may run on each. A gang of 12 with 8 tickets never started.

The request for advice counts the slots of an allowed worker as the planner does, with MaxPerWorker and the tasks of the step that are there.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -171,7 +171,7 @@
 		if w.Service != c.serviceOf(j) || !c.usable(w, now) || !w.HasLabel(spec.Requires) || s.advice.refused[w.ID] {
 			continue
 		}
-		free := w.free().FitCount(spec.Need, spec.Tasks)
+		free := w.slotsFor(j, occurrence, step)
 		if _, ok := s.advice.validTicket(w, now); ok {
 			waitingTasks -= free
 			continue
@@ -194,6 +194,27 @@
 	return req, true
 }
 
+// slotsFor returns how many more tasks of a step fit on the worker.
+func (w *worker) slotsFor(j *job, occurrence, step int) int {
+	spec := &j.Steps[step]
+	limit := spec.Tasks
+	if spec.MaxPerWorker > 0 {
+		limit = spec.MaxPerWorker - w.tasksOfStep(j, occurrence, step)
+	}
+	return max(0, w.free().FitCount(spec.Need, limit))
+}
+
+// tasksOfStep returns the number of tasks of a step that hold capacity on the worker.
+func (w *worker) tasksOfStep(j *job, occurrence, step int) int {
+	n := 0
+	for k, a := range w.allocs {
+		if id, ok := batch.ParseTaskID(k.task); ok && a != nil && id.Job == j.ID && id.Occurrence == occurrence && id.Step == step {
+			n++
+		}
+	}
+	return n
+}
+
 func (w *worker) free() batch.Resources {
 	free := w.Capacity
 	for _, a := range w.allocs {
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -456,11 +456,8 @@
 	}
 	out := map[int]int{}
 	for i, w := range in.workers {
-		for k, a := range w.allocs {
-			id, ok := batch.ParseTaskID(k.task)
-			if ok && a != nil && id.Job == g.job.ID && id.Occurrence == g.occurrence && id.Step == g.step {
-				out[i]++
-			}
+		if n := w.tasksOfStep(g.job, g.occurrence, g.step); n > 0 {
+			out[i] = n
 		}
 	}
 	in.tasksPerWorker[step] = out
