Count suspected workers as capacity when deciding on reservations

Workers in quarantine left the sum of the capacity, so with many of them the fleet seemed full while half of it was idle: the only free workers were reserved for a gang, and later jobs waited.

Workers that respond and stay, and get no new work only because their health is suspected, count with their free capacity. Those that are draining, silent or down don't.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -326,14 +326,19 @@
 		in.workerIndex[w.ID] = len(in.workers)
 		in.workers = append(in.workers, w)
 		in.Workers = append(in.Workers, placement.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: free,
-			FutureFree: free.Plus(ending), EventuallyFree: w.Capacity.Minus(lasting), Usable: c.usable(w, now), HealthPenalty: w.health.suspicion,
+			FutureFree: free.Plus(ending), EventuallyFree: w.Capacity.Minus(lasting), Usable: c.usable(w, now), Suspected: c.staysInService(w) && !w.health.trusted(now), HealthPenalty: w.health.suspicion,
 			LatencySensitive: latencySensitive, BestEffort: bestEffort})
 	}
 }
 
 // usable reports whether a worker may get new work.
 func (c *Core) usable(w *worker, now time.Duration) bool {
-	return w.registered && !w.Draining && !w.takenDown && !c.closedForMaintenance[w.ID] && w.contacted && !w.unresponsive && now >= w.fullUntil && w.health.trusted(now)
+	return c.staysInService(w) && now >= w.fullUntil && w.health.trusted(now)
+}
+
+// staysInService reports whether a worker responds and isn't about to leave.
+func (c *Core) staysInService(w *worker) bool {
+	return w.registered && !w.Draining && !w.takenDown && !c.closedForMaintenance[w.ID] && w.contacted && !w.unresponsive
 }
 
 func (c *Core) addRuns(in *planInput, guaranteed map[*job]bool, now time.Duration) {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -42,6 +42,7 @@
 	FutureFree       batch.Resources // Free plus what the runs that are being stopped will release
 	EventuallyFree   batch.Resources // Capacity minus what long-running tasks use, since the end of those is not known
 	Usable           bool            // may get new work
+	Suspected        bool            // not usable only because its health is suspected; it still counts as capacity
 	HealthPenalty    float64         // suspicion of the worker's health; 0 means none
 	LatencySensitive bool            // runs latency-sensitive tasks, which have a bound on their response times
 	BestEffort       bool            // runs best-effort tasks, which use the processor time that others leave unused
@@ -125,12 +126,13 @@
 	runsByWorker       [][]int // runs on each worker, cheapest first
 	preempted          []bool
 	freeBeyondHeadroom float64         // free capacity beyond the headroom, core equivalents
-	free, total        batch.Resources // of the usable workers
+	free, total        batch.Resources // of the usable and the suspected workers
 	decision           Decision
 }
 
 func newPlanner(in Input) *planner {
 	p := &planner{workers: in.Workers, runs: in.Runs, requests: in.Requests, racks: map[string][]int{}, preempted: make([]bool, len(in.Runs))}
+	p.free, p.total = capacityOf(in.Workers)
 	for i, w := range in.Workers {
 		if _, ok := p.racks[w.Rack]; !ok {
 			p.rackNames = append(p.rackNames, w.Rack)
@@ -139,7 +141,6 @@
 		p.allWorkers = append(p.allWorkers, i)
 		if w.Usable {
 			p.freeBeyondHeadroom += max(0, w.Free.CoreEquivalents())
-			p.free, p.total = p.free.Plus(w.Free), p.total.Plus(w.Capacity)
 		}
 	}
 	p.freeBeyondHeadroom -= in.Headroom
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -26,15 +26,17 @@
 	return Room{Fleet: min(fleet, r.Count), Rack: min(rack, r.Count)}
 }
 
-// FreeShare returns the free share of the scarcest resource of the usable workers.
-func FreeShare(workers []Worker) float64 {
-	var free, total batch.Resources
+// FreeShare returns the free share of the scarcest resource of the usable and the suspected workers.
+func FreeShare(workers []Worker) float64 { return freeShare(capacityOf(workers)) }
+
+// capacityOf returns the free and the whole capacity of the usable and the suspected workers.
+func capacityOf(workers []Worker) (free, total batch.Resources) {
 	for _, w := range workers {
-		if w.Usable {
+		if w.Usable || w.Suspected {
 			free, total = free.Plus(w.Free), total.Plus(w.Capacity)
 		}
 	}
-	return freeShare(free, total)
+	return free, total
 }
 
 func freeShare(free, total batch.Resources) float64 {
--- a/internal/placement/room_test.go
+++ b/internal/placement/room_test.go
@@ -32,3 +32,11 @@
 	must.Eq(t, 0.5, FreeShare(workers))
 	must.Eq(t, 1, FreeShare(nil))
 }
+
+// Guards against capacity that counts as scarce because idle workers get no new work for some seconds.
+func TestSuspectedWorkersCountAsCapacity(t *testing.T) {
+	workers := fleet(1, 2)
+	workers[0].Usable, workers[0].Suspected = false, true
+	workers[1].Free = workers[1].Free.Minus(eightAccelerators)
+	must.Eq(t, 0.5, FreeShare(workers))
+}
