Keep the log sink safe to write to after it is closed

What callers saw: a host that was being stopped could end with a panic, which resets all its connections.

Cause: Sink.Close closed the channel that wakes the writing goroutine, and Sink.Write sends on this channel without the lock. A goroutine that logs during or after Close panics, or races with the close.

Fix: Close closes a channel of its own, on which nobody sends. Since the sink is marked as closed under the same lock under which lines are buffered, the last flush has all lines that were taken; later ones are dropped and counted. Close no longer waits for the end of a collecting delay either.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -22,7 +22,8 @@
 	dropped      uint64 // lines dropped since the last report
 	droppedTotal uint64 // lines dropped since the start
 	closed       bool
-	wake         chan struct{} // signals that lines wait; closed by Close
+	wake         chan struct{} // signals that lines wait
+	closing      chan struct{} // closed by Close
 	done         chan struct{} // closed when run has returned
 }
 
@@ -31,12 +32,12 @@
 
 // New returns a sink that writes to out.
 func New(out io.Writer) *Sink {
-	s := &Sink{out: out, wake: make(chan struct{}, 1), done: make(chan struct{})}
+	s := &Sink{out: out, wake: make(chan struct{}, 1), closing: make(chan struct{}), done: make(chan struct{})}
 	go s.run()
 	return s
 }
 
-// Write buffers one line or drops it if the buffer is full. It never blocks on the output and never returns an error.
+// Write buffers one line or drops it if the buffer is full or the sink is closed. It never blocks on the output and never returns an error.
 func (s *Sink) Write(line []byte) (int, error) {
 	s.mu.Lock()
 	if s.closed || len(s.buffer)+len(line) > bufferBytes {
@@ -60,15 +61,14 @@
 	return s.droppedTotal
 }
 
-// Close has the buffered lines written and waits for at most timeout until that is done.
+// Close has the buffered lines written and waits for at most timeout until that is done. Lines that are logged later are dropped and counted.
 func (s *Sink) Close(timeout time.Duration) {
 	s.mu.Lock()
-	closed := s.closed
-	s.closed = true
-	s.mu.Unlock()
-	if !closed {
-		close(s.wake)
+	if !s.closed {
+		s.closed = true
+		close(s.closing)
 	}
+	s.mu.Unlock()
 	select {
 	case <-s.done:
 	case <-time.After(timeout):
@@ -77,15 +77,27 @@
 
 func (s *Sink) run() {
 	defer close(s.done)
-	for open := true; open; {
-		_, open = <-s.wake
-		if open {
-			time.Sleep(flushDelay)
-		}
+	for s.awaitLines() {
 		if !s.flush() {
 			return
 		}
 	}
+	s.flush()
+}
+
+// awaitLines waits until lines have been collected for flushDelay. It returns false once the sink is closed: no further line is buffered then.
+func (s *Sink) awaitLines() bool {
+	select {
+	case <-s.wake:
+	case <-s.closing:
+		return false
+	}
+	select {
+	case <-time.After(flushDelay):
+		return true
+	case <-s.closing:
+		return false
+	}
 }
 
 // flush writes the buffered lines and the number of dropped ones, and reports whether that succeeded.
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -53,3 +53,31 @@
 	s.Close(5 * time.Second)
 	must.Eq(t, "last\n", out.text.String())
 }
+
+// Guards against a goroutine that panics because it still logs while the process ends, and against lines that get lost uncounted then.
+func TestWriteAfterCloseIsCounted(t *testing.T) {
+	const writers, linesEach = 16, 200
+	out := &blockedWriter{unblock: make(chan struct{})}
+	close(out.unblock)
+	s := New(out)
+	line := []byte("x\n")
+	var group sync.WaitGroup
+	for range writers {
+		group.Go(func() {
+			for range linesEach {
+				_, _ = s.Write(line)
+			}
+		})
+	}
+	s.Close(5 * time.Second)
+	group.Wait()
+	before := s.Dropped()
+	n, err := s.Write(line)
+	must.NoError(t, err)
+	must.Eq(t, len(line), n)
+	must.Eq(t, before+1, s.Dropped())
+	s.Close(5 * time.Second)
+	out.mu.Lock()
+	defer out.mu.Unlock()
+	must.Eq(t, writers*linesEach, strings.Count(out.text.String(), "x\n")+int(before))
+}
