Keep the sink's spare buffer apart from its current one

What callers saw: nothing; operators could find log lines that were torn or overwritten by later ones.

Cause: Sink.flush made the spare buffer the current one before it returned early for want of lines, and left it in place as the spare. Both then were the same memory, and lines logged during the next write overwrote the lines that were being written.

Fix: a flush without lines changes nothing, and the spare is taken out of its field when it becomes the current buffer, so the two can't be one memory.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -18,7 +18,7 @@
 
 	mu           sync.Mutex
 	buffer       []byte
-	spare        []byte // buffer of the last write, reused as the next one
+	spare        []byte // buffer of the last write, reused as the next one; never the memory of buffer
 	dropped      uint64 // lines dropped since the last report
 	droppedTotal uint64 // lines dropped since the start
 	closed       bool
@@ -104,14 +104,15 @@
 func (s *Sink) flush() bool {
 	s.mu.Lock()
 	data, dropped := s.buffer, s.dropped
-	s.buffer, s.dropped = s.spare[:0], 0
+	if len(data) == 0 && dropped == 0 {
+		s.mu.Unlock()
+		return true
+	}
+	s.buffer, s.spare, s.dropped = s.spare[:0], nil, 0
 	s.mu.Unlock()
 	if dropped > 0 {
 		data = fmt.Appendf(data, "{\"level\":\"warning\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", dropped)
 	}
-	if len(data) == 0 {
-		return true
-	}
 	_, err := s.out.Write(data)
 	s.mu.Lock()
 	s.spare = data
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -14,10 +14,14 @@
 type blockedWriter struct {
 	mu      sync.Mutex
 	text    bytes.Buffer
+	entered chan struct{} // receives a value at the begin of each write; may be nil
 	unblock chan struct{}
 }
 
 func (b *blockedWriter) Write(p []byte) (int, error) {
+	if b.entered != nil {
+		b.entered <- struct{}{}
+	}
 	<-b.unblock
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -81,3 +85,24 @@
 	defer out.mu.Unlock()
 	must.Eq(t, writers*linesEach, strings.Count(out.text.String(), "x\n")+int(before))
 }
+
+// Guards against lines that overwrite those that are being written, after a flush that found no lines.
+func TestLinesLoggedDuringAWriteLeaveItUnchanged(t *testing.T) {
+	out := &blockedWriter{entered: make(chan struct{}, 2), unblock: make(chan struct{})}
+	s := &Sink{out: out}
+	_, _ = s.Write([]byte("aaaa\n"))
+	written := make(chan bool, 1)
+	go func() { written <- s.flush() && s.flush() }()
+	<-out.entered
+	out.unblock <- struct{}{}
+	must.True(t, <-written)
+
+	_, _ = s.Write([]byte("bbbb\n"))
+	go func() { written <- s.flush() }()
+	<-out.entered
+	_, _ = s.Write([]byte("cccc\n"))
+	close(out.unblock)
+	must.True(t, <-written)
+	must.True(t, s.flush())
+	must.Eq(t, "aaaa\nbbbb\ncccc\n", out.text.String())
+}
