End a host's probes of the leader before its Run returns

Cause: probes of a silent leader were started with a bare go statement, so nothing waited for them. All other goroutines of a host belong to a group that Run waits for.

Fix: probes run in the group of Run.

--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -156,14 +156,15 @@
 	s.h.intake.States().Changed(rows)
 }
 
-// Run follows the tables until serveCtx ends, and leads when elected until leadCtx ends. Leadership is released before Run returns.
+// Run follows the tables until serveCtx ends, and leads when elected until leadCtx ends. Leadership is released before Run returns, and no goroutine of
+// the host outlives it.
 func (h *Host) Run(serveCtx, leadCtx context.Context) {
 	var group sync.WaitGroup
 	defer group.Wait()
 	group.Go(func() { h.statesFollower.Run(serveCtx) })
 	group.Go(func() { h.options.Sources.FollowOperator(serveCtx, h.setPolicy, h.addWaves) })
 	group.Go(func() { h.register(serveCtx) })
-	h.leadLoop(leadCtx)
+	h.leadLoop(leadCtx, &group)
 }
 
 func (h *Host) setPolicy(p *batch.Policy) {
@@ -213,8 +214,8 @@
 	return slices.Clone(h.waves)
 }
 
-// leadLoop probes the leader and claims leadership whenever either is due, until ctx ends.
-func (h *Host) leadLoop(ctx context.Context) {
+// leadLoop probes the leader and claims leadership whenever either is due, until ctx ends. Probes run in the group.
+func (h *Host) leadLoop(ctx context.Context, group *sync.WaitGroup) {
 	ticker := time.NewTicker(claimCheckInterval)
 	defer ticker.Stop()
 	for {
@@ -228,7 +229,7 @@
 			h.leaderWatch.RecordRead(now.Add(-age))
 		}
 		if row, version, due := h.leaderWatch.ProbeDue(now); due {
-			go h.probeLeader(ctx, row, version)
+			group.Go(func() { h.probeLeader(ctx, row, version) })
 		}
 		if row, due := h.leaderWatch.ClaimDue(now); due && h.intake.Policy() != nil {
 			h.claimAndLead(ctx, row)
