Keep the time for the response while the leader is asked for a state

Callers that had 400 ms or less left, as in the last of several attempts that share one time limit, got no answer about a running job in time while the leader was silent, although the host had a copy of the state.

The query of the leader ran until the caller's deadline; only the read of the inbox after it left responseReserve (150 ms) for the response. Evidence: with a leader that doesn't respond, a copy of the state and 300 ms left, the new test failed before the change:

intake_test.go:288: expected -610.632µs > 75ms ... time left for the response

The whole lookup now ends responseReserve before the deadline, so each way of finding a state leaves the time to send it.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -264,6 +264,8 @@
 
 // lookup returns the queue and state of a job of the target queue, from the cache, the leader or the inbox.
 func (in *Intake) lookup(ctx context.Context, c Call, t target) (jobInfo, Reply) {
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline.Add(-responseReserve))
+	defer cancel()
 	if info, ok := in.newestState(ctx, t.id); ok {
 		if info.queue != t.queue.Name {
 			return jobInfo{}, Reply{Code: NoJob, Reason: "other_queue"}
@@ -273,8 +275,6 @@
 	if !validID(t.id) {
 		return jobInfo{}, Reply{Code: NoJob, Reason: "invalid_id"}
 	}
-	ctx, cancel := context.WithDeadline(ctx, c.Deadline.Add(-responseReserve))
-	defer cancel()
 	scanCtx, cancelScan := context.WithTimeout(ctx, attemptTimeout)
 	defer cancelScan()
 	r, err := in.store.Scan(scanCtx, TableInbox, partitionOf(t.id), rowstore.Range{From: t.id, To: t.id + "\x00"})
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -265,3 +265,25 @@
 	}
 	must.Eq(t, Malformed, submit(in, call("/q/a/b")).Code)
 }
+
+// silentLeader responds to no query.
+type silentLeader struct{}
+
+// QueryState implements Leader.
+func (silentLeader) QueryState(ctx context.Context, _ string) (string, batch.State, bool) {
+	<-ctx.Done()
+	return "", "", false
+}
+
+// Guards against a query without an answer in time because the host waits for a silent leader although it has a copy of the state.
+func TestStateIsAnsweredInTimeWhileTheLeaderIsSilent(t *testing.T) {
+	in := newIntake(memstore.New())
+	in.leader = silentLeader{}
+	in.States().Reset([]rowstore.Row{state(testID, `{"q":"q","s":"running"}`)})
+	c := call("/q/" + testID)
+	c.Deadline = time.Now().Add(300 * time.Millisecond)
+	ctx, cancel := context.WithDeadline(context.Background(), c.Deadline)
+	defer cancel()
+	must.Eq(t, batch.Running, in.State(ctx, c).State)
+	must.Greater(t, responseReserve/2, time.Until(c.Deadline), must.Sprint("time left for the response"))
+}
