Don't reuse idle connections that are older than a failure to respond

When all open connections to the table went silent at once, callers got 503 for seconds from hosts that a new connection would have served: each call to the table took another silent connection from the idle ones and waited for its whole time. Up to 8 idle connections (maxIdlePerAddress) are tried, newest first; a read of the operator's feed loses 1.5 s with each, so after four the configuration is older than 6 s and every request is refused, and a query of a job that isn't in the copy of the states loses its 0.8 s.

A connection without a response was closed, but the other idle connections to the same address were kept, although their newest response is older than the call that failed. Evidence: with four idle connections that carry nothing, the second call of the new test failed before the change:

httpcall_test.go:140: expected nil error error: read tcp 127.0.0.1:42134->127.0.0.1:36079: i/o timeout: no complete answer

A call without a response now closes the idle connections to its address on which nothing was received since it was sent; connections that responded meanwhile are kept. The next call opens a new connection. A worker that responds to no call costs new connections; none is opened while calls are answered.

--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -66,7 +67,8 @@
 
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	reader      *bufio.Reader
+	respondedAt time.Time // when the newest response was complete
 }
 
 // New returns a client. onOpen is called for each opened connection and may be nil.
@@ -87,20 +89,37 @@
 		c.put(r.Address, cn)
 		return Response{}, errors.Wrap(ErrNotSent, "too late to send")
 	}
+	sent := time.Now()
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	resp, reusable, err := cn.roundTrip(r)
 	stopped := stop()
 	if err != nil || !reusable || !stopped {
 		_ = cn.Close()
 	} else {
+		cn.respondedAt = time.Now()
 		c.put(r.Address, cn)
 	}
 	if err != nil {
+		c.discardIdle(r.Address, sent)
 		return Response{}, errors.Wrap(ErrNoResponse, err.Error())
 	}
 	return resp, nil
 }
 
+// discardIdle closes the idle connections to an address on which no response was received since the given time. The failure that kept a call from
+// being answered may have made them unresponsive too.
+func (c *Client) discardIdle(address string, since time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle[address] = slices.DeleteFunc(c.idle[address], func(cn *conn) bool {
+		stale := cn.respondedAt.Before(since)
+		if stale {
+			_ = cn.Close()
+		}
+		return stale
+	})
+}
+
 func (c *Client) get(ctx context.Context, address string) (*conn, error) {
 	for {
 		cn := c.takeIdle(address)
@@ -120,7 +139,7 @@
 	if c.onOpen != nil {
 		c.onOpen()
 	}
-	return &conn{raw, bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
 }
 
 func (c *Client) takeIdle(address string) *conn {
--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -66,3 +67,75 @@
 	_, err = do(New(nil), closed.Addr().String(), time.Second)
 	must.ErrorIs(t, err, ErrNotSent)
 }
+
+// mutableListener accepts connections that forward bytes to a server until they are muted; muted connections stay open and carry nothing.
+type mutableListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns []*mutableConn
+}
+
+// Accept implements net.Listener.
+func (l *mutableListener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	conn := &mutableConn{Conn: raw}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conns = append(l.conns, conn)
+	return conn, nil
+}
+
+func (l *mutableListener) muteOpenConnections() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range l.conns {
+		c.muted.Store(true)
+	}
+}
+
+// mutableConn loses all that is written to it while it is muted.
+type mutableConn struct {
+	net.Conn
+	muted atomic.Bool
+}
+
+// Write implements net.Conn.
+func (c *mutableConn) Write(b []byte) (int, error) {
+	if c.muted.Load() {
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Guards against a series of calls that each wait for a connection that went silent at the same moment, while a new connection would respond.
+func TestOneSilentConnectionEndsTheUseOfAllOlderOnes(t *testing.T) {
+	const calls = 4
+	var arrived sync.WaitGroup
+	arrived.Add(calls)
+	var served atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		if served.Add(1) <= calls {
+			arrived.Done()
+			arrived.Wait()
+		}
+	}))
+	listener := &mutableListener{Listener: server.Listener}
+	server.Listener = listener
+	server.Start()
+	defer server.Close()
+	c := New(nil)
+	address := listener.Addr().String()
+	var group sync.WaitGroup
+	for range calls {
+		group.Go(func() { _, _ = do(c, address, time.Second) })
+	}
+	group.Wait()
+	listener.muteOpenConnections()
+	_, err := do(c, address, 100*time.Millisecond)
+	must.ErrorIs(t, err, ErrNoResponse)
+	_, err = do(c, address, 100*time.Millisecond)
+	must.NoError(t, err)
+}
