Leave time for a direct call after a relayed one without a response

Callers got 503 for jobs that weren't in a host's copy of the states, after 0.8 s each, while the table served that host: after one failed direct call, calls are relayed first for a second. A silent host used up the caller's whole time (relayTimeout 0.9 s against 0.8 s for a query, 1.9 s against 1.5 s for a read of a feed). The direct call was then made under an expired context, failed, and began a new second of relaying first. That ended only when each other host in turn had been silent: 31 hosts at 0.8 s are 25 s.

Evidence: with a table that works again and other hosts that don't respond, both new tests failed before the change:

relay_test.go:173: error: context deadline exceeded: the store did not carry out the call relay_test.go:200: error: context deadline exceeded: the store did not carry out the call

A call relayed first now gets half of the caller's time, so that the direct call has the other half. A read of a feed, which waits for changes, keeps its time, but a direct call that can't be made any more is no longer counted as a failure of the table, so the next read after relayFirstPeriod is direct.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -97,13 +97,16 @@
 	relayFirst, mayRelay := s.chooseOrder()
 	var uncertain bool
 	if relayFirst && mayRelay {
-		r, rows, err := s.relay(ctx, call, wait)
+		r, rows, err := s.relayBeforeDirect(ctx, call, wait)
 		if err == nil {
 			return decode(r, rows), nil
 		}
 		if errors.Is(err, rowstore.ErrHistoryGone) {
 			return zero, err
 		}
+		if ctx.Err() != nil {
+			return zero, err
+		}
 		uncertain = !errors.Is(err, rowstore.ErrNotDone)
 		mayRelay = false
 	}
@@ -160,6 +163,17 @@
 	return got, err
 }
 
+// relayBeforeDirect sends a call to another host and leaves half of the caller's time for a direct call. A call that waits for changes may use all of it: the
+// other half would be too short for another wait, and the next read of the feed is a direct one once relayFirstPeriod has passed.
+func (s *Store) relayBeforeDirect(ctx context.Context, call api.RelayCall, wait time.Duration) (api.RelayResult, []rowstore.Row, error) {
+	if end, ok := ctx.Deadline(); ok && wait == 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Until(end)/2)
+		defer cancel()
+	}
+	return s.relay(ctx, call, wait)
+}
+
 // relay sends the call to another host. After a failure the next call goes to the next host.
 func (s *Store) relay(ctx context.Context, call api.RelayCall, wait time.Duration) (api.RelayResult, []rowstore.Row, error) {
 	hosts := s.hosts()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -122,3 +122,80 @@
 	must.NoError(t, err)
 	must.Len(t, 1, other.calls)
 }
+
+// silentPeer responds to no call.
+type silentPeer struct{}
+
+// Call implements Caller.
+func (silentPeer) Call(ctx context.Context, _, _ string, _, _ any) error {
+	<-ctx.Done()
+	return errors.Wrap(peer.ErrUncertain, ctx.Err().Error())
+}
+
+// boundedStore makes no call after the end of its context, as a client over the network.
+type boundedStore struct{ rowstore.Store }
+
+// Scan implements rowstore.Store.
+func (b boundedStore) Scan(ctx context.Context, table, partition string, within rowstore.Range) (rowstore.ScanResult, error) {
+	if ctx.Err() != nil {
+		return rowstore.ScanResult{}, errors.Wrap(rowstore.ErrNotDone, ctx.Err().Error())
+	}
+	return b.Store.Scan(ctx, table, partition, within)
+}
+
+// Changes implements rowstore.Store.
+func (b boundedStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (rowstore.Changes, error) {
+	if ctx.Err() != nil {
+		return rowstore.Changes{}, errors.Wrap(rowstore.ErrNotDone, ctx.Err().Error())
+	}
+	return b.Store.Changes(ctx, table, after, wait)
+}
+
+// Guards against a host that answers no query for seconds because its calls wait for silent hosts, although the table serves it again.
+func TestDirectCallHasTimeAfterASilentRelay(t *testing.T) {
+	direct := memstore.New()
+	refuse := true
+	direct.SetFault(func(string) memstore.Fault {
+		if refuse {
+			return memstore.Refuse
+		}
+		return memstore.None
+	})
+	s := New(boundedStore{direct}, silentPeer{}, func() []string { return []string{"a", "b", "c", "d", "e"} })
+	scan := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 800*time.Millisecond)
+		defer cancel()
+		_, err := s.Scan(ctx, "t", "p", rowstore.Range{})
+		return err
+	}
+	must.Error(t, scan())
+	refuse = false
+	must.NoError(t, scan())
+}
+
+// Guards against a feed that is read through silent hosts only, because each read that they use up counts as a failure of the table.
+func TestFeedIsReadDirectlyAfterASilentRelay(t *testing.T) {
+	direct := memstore.New()
+	refuse := true
+	direct.SetFault(func(string) memstore.Fault {
+		if refuse {
+			return memstore.Refuse
+		}
+		return memstore.None
+	})
+	s := New(boundedStore{direct}, silentPeer{}, func() []string { return []string{"a", "b", "c", "d", "e"} })
+	now := time.Unix(100, 0)
+	s.now = func() time.Time { return now }
+	read := func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_, err := s.Changes(ctx, "t", 0, 50*time.Millisecond)
+		return err
+	}
+	must.Error(t, read())
+	refuse = false
+	now = now.Add(relayFirstPeriod / 2)
+	must.Error(t, read(), must.Sprint("relayed first, to a silent host"))
+	now = now.Add(relayFirstPeriod / 2)
+	must.NoError(t, read())
+}
