Read a submission again when the table doesn't respond

Callers got 503 with seconds of their time left for an accepted job that wasn't in the host's copy of the states, as after a start, when one read of the inbox got no response, for example on a connection that had gone silent.

A query read the inbox once, for at most attemptTimeout (0.8 s), and refused the caller after that, whereas submissions and cancel requests repeat a silent transaction until the caller's deadline. Evidence: with one silent read, the new test failed before the change:

intake_test.go:312: expected equality ... - s"ok" + s"not_now"

Queries now follow the same rule as transactions: a read without a response is repeated until responseReserve before the deadline, and a refusal is still passed on at once, since another host may be served.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -275,9 +275,7 @@
 	if !validID(t.id) {
 		return jobInfo{}, Reply{Code: NoJob, Reason: "invalid_id"}
 	}
-	scanCtx, cancelScan := context.WithTimeout(ctx, attemptTimeout)
-	defer cancelScan()
-	r, err := in.store.Scan(scanCtx, TableInbox, partitionOf(t.id), rowstore.Range{From: t.id, To: t.id + "\x00"})
+	r, err := in.readSubmission(ctx, t.id)
 	if err != nil {
 		return jobInfo{}, Reply{Code: Unavailable, Reason: "store_unavailable", RetryAfter: storeRetryAfter}
 	}
@@ -293,6 +291,27 @@
 	return jobInfo{}, Reply{Code: NoJob, Reason: "not_found"}
 }
 
+// readSubmission reads the submission of a job from the inbox, and repeats a read without a response until ctx ends.
+func (in *Intake) readSubmission(ctx context.Context, id string) (rowstore.ScanResult, error) {
+	for {
+		r, err := in.readSubmissionOnce(ctx, id)
+		if !errors.Is(err, rowstore.ErrUncertain) {
+			return r, err
+		}
+		select {
+		case <-ctx.Done():
+			return r, err
+		case <-time.After(retryPause):
+		}
+	}
+}
+
+func (in *Intake) readSubmissionOnce(ctx context.Context, id string) (rowstore.ScanResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return in.store.Scan(ctx, TableInbox, partitionOf(id), rowstore.Range{From: id, To: id + "\x00"})
+}
+
 // State returns the state of a job, or the number of waiting jobs if the path names the queue.
 func (in *Intake) State(ctx context.Context, c Call) Reply {
 	t, refused := in.resolve(c)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -287,3 +287,27 @@
 	must.Eq(t, batch.Running, in.State(ctx, c).State)
 	must.Greater(t, responseReserve/2, time.Until(c.Deadline), must.Sprint("time left for the response"))
 }
+
+// silentOnceStore doesn't respond to the first scan.
+type silentOnceStore struct {
+	rowstore.Store
+	scans int
+}
+
+// Scan implements rowstore.Store.
+func (s *silentOnceStore) Scan(ctx context.Context, table, partition string, r rowstore.Range) (rowstore.ScanResult, error) {
+	s.scans++
+	if s.scans == 1 {
+		return rowstore.ScanResult{}, rowstore.ErrUncertain
+	}
+	return s.Store.Scan(ctx, table, partition, r)
+}
+
+// Guards against a refused query of an accepted job after one read without a response, although the caller would wait for another read.
+func TestStateIsReadAgainWhenTheTableIsSilent(t *testing.T) {
+	s := memstore.New()
+	in := newIntake(s)
+	must.Eq(t, OK, submit(in, call("/q/"+testID)).Code)
+	in.store = &silentOnceStore{Store: s}
+	must.Eq(t, OK, in.State(context.Background(), call("/q/"+testID)).Code)
+}
