Let jobs leave the racks that they prefer only with spare room, and only if nothing of them runs

A request leaves its racks under the conditions under which the users expect it to run: capacity has been ample for 2 s, it fits twice over on free workers, and no task of its job runs. Long-running tasks, each of which has to be at work, leave after 2 s as before.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -60,6 +60,7 @@
 	deposed              bool
 	runTimeEstimates     runTimeEstimates
 	urgentDemand         urgentDemand
+	ampleSince           map[string]time.Duration // since when the capacity of a service has been ample
 	lastStateCleanup     time.Duration
 	counts               Counts
 	waves                map[string]*wave
@@ -77,7 +78,7 @@
 func New(epoch uint64, policy *batch.Policy, bounds Bounds, log logrus.FieldLogger) *Core {
 	c := &Core{epoch: epoch, bounds: bounds, log: log, policy: policy, jobs: map[string]*job{}, endedJobs: map[string]endedJob{},
 		workers: map[string]*worker{}, rows: rowQueue{queued: map[rowID]bool{}}, dirty: true, runTimeEstimates: runTimeEstimates{}, nextAdviceAt: map[string]time.Duration{},
-		counts: newCounts(), waves: map[string]*wave{}, storedWaves: map[string]waveValue{}}
+		counts: newCounts(), waves: map[string]*wave{}, storedWaves: map[string]waveValue{}, ampleSince: map[string]time.Duration{}}
 	c.preemptionBudget, c.planner, c.expectedRunTime = c.preemptionBudgetOf, placement.Plan, c.runTimeEstimates.expect
 	return c
 }
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -3,6 +3,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"samphirewell/internal/batch"
@@ -112,6 +113,18 @@
 // ending reports whether the tasks of the job may no longer start.
 func (j *job) ending() bool { return j.cancelled || j.state.Terminal() }
 
+// idle reports whether no task of the job is assigned or may be running.
+func (j *job) idle() bool {
+	for _, steps := range j.steps {
+		for _, s := range steps {
+			if slices.ContainsFunc(s.groups, (*taskGroup).active) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // runKey identifies one run of a task.
 type runKey struct {
 	task string
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -208,6 +208,7 @@
 	usage := urgentUsage(in.workers)
 	c.urgentDemand.record(now, usage, usableCapacity(in.Workers))
 	in.Headroom = c.urgentDemand.headroom(usage)
+	in.AmpleFor = c.ampleFor(service, in.Workers, now)
 	due := dueWaitLogs(in, now)
 	var before []placement.Worker
 	if len(due) > 0 {
@@ -232,6 +233,18 @@
 	return in.requestGroups[d.Preemptors[victim]][0].job.ID
 }
 
+// ampleFor returns how long the capacity of a service has been ample.
+func (c *Core) ampleFor(service string, workers []placement.Worker, now time.Duration) time.Duration {
+	if !placement.HasAmpleCapacity(workers) {
+		delete(c.ampleSince, service)
+		return 0
+	}
+	if _, ok := c.ampleSince[service]; !ok {
+		c.ampleSince[service] = now
+	}
+	return now - c.ampleSince[service]
+}
+
 // dueWaitLogs returns the requests whose wait is logged in this cycle if they aren't placed, at most once in waitLogInterval for each.
 func dueWaitLogs(in *planInput, now time.Duration) []int {
 	var due []int
@@ -442,6 +455,7 @@
 	r.MaySpanRacks = r.MayPreempt && waited > spanRacksAfter
 	r.PreemptionBudget = c.preemptionBudget(g, guaranteed[g.job], waited)
 	r.BestEffort = spec.Checkpoints && g.job.Queue.Priority > 1
+	r.JobIdle = g.job.idle()
 	r.TasksPerWorker = c.tasksPerWorker(in, g)
 	r.AvoidedWorkers = c.avoidedWorkers(in, g)
 	r.AllowedWorkers = c.allowedWorkers(in, g, now)
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -49,9 +49,22 @@
 }
 
 // mayLeaveRack reports whether the request may run outside the single rack or the data's rack that its step prefers, where it runs slower. While
-// capacity is scarce, waiting for that rack saves capacity; a long-running task should run at all times, however scarce capacity is.
+// capacity is scarce, or another task of the job runs, waiting for that rack saves capacity; a long-running task should run at all times, however scarce
+// capacity is.
 func (p *planner) mayLeaveRack(r *Request) bool {
-	return r.MaySpanRacks || r.WaitTime > localityWaitLimit && (r.Step.LongRunning || p.hasAmpleCapacity())
+	if r.MaySpanRacks || r.Step.LongRunning && r.WaitTime > localityWaitLimit {
+		return true
+	}
+	return r.JobIdle && min(r.WaitTime, p.ampleFor) > localityWaitLimit && p.hasAmpleCapacity() && p.fitsFreeWorkers(r, spareRoomFactor*r.minTasks())
+}
+
+// fitsFreeWorkers reports whether count tasks fit on the free capacity of all workers.
+func (p *planner) fitsFreeWorkers(r *Request, count int) bool {
+	slots := 0
+	for _, w := range p.allWorkers {
+		slots += p.fitCount(r, w, count, freeCapacity)
+	}
+	return slots >= count
 }
 
 // restrictedToDataRack reports whether the request may run only on the rack of its data. A gang that would not fit even if that rack ran nothing but its
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -21,9 +21,11 @@
 	// reserved instead. With more free capacity a reservation only keeps other requests waiting: the users expect every task to run while half of the
 	// capacity is free. The difference between the half and this value allows for capacity that becomes free between two cycles.
 	ampleFreeShare = 0.4
-	// localityWaitLimit is the wait after which a request may leave the racks that it prefers. The users expect a task to start within 3 s while
-	// capacity is ample.
+	// localityWaitLimit is how long a request waits for the racks that it prefers while capacity is ample. The users expect it to start within 3 s then.
 	localityWaitLimit = 2 * time.Second
+	// spareRoomFactor is how many times over the tasks that have to start together fit on free workers before they may leave the racks that they prefer:
+	// they hold the capacity longer there.
+	spareRoomFactor = 2
 	// victimCost is added to the lost work of each preempted run, in core-seconds, so that few victims are preferred to many.
 	victimCost = 20
 )
@@ -81,6 +83,7 @@
 	MayPreempt       bool         // may stop less urgent runs
 	PreemptionBudget float64      // most work that may be lost by preempting runs for it, core-seconds
 	BestEffort       bool         // loses little when it is stopped, so it may use the headroom
+	JobIdle          bool         // no task of its job runs or is about to start
 	WaitTime         time.Duration
 }
 
@@ -105,6 +108,8 @@
 	Requests []Request
 	// Headroom is the capacity that requests without MayPreempt leave free for urgent work that may arrive, in core equivalents.
 	Headroom float64
+	// AmpleFor is how long capacity has been ample, see HasAmpleCapacity.
+	AmpleFor time.Duration
 }
 
 // Plan decides one cycle. It changes Free and FutureFree of the workers, and TasksPerWorker and AvoidedWorkers of the requests.
@@ -127,12 +132,14 @@
 	preempted          []bool
 	freeBeyondHeadroom float64         // free capacity beyond the headroom, core equivalents
 	free, total        batch.Resources // of the usable and the suspected workers
+	ampleFor           time.Duration   // how long capacity has been ample
 	decision           Decision
 }
 
 func newPlanner(in Input) *planner {
 	p := &planner{workers: in.Workers, runs: in.Runs, requests: in.Requests, racks: map[string][]int{}, preempted: make([]bool, len(in.Runs))}
 	p.free, p.total = capacityOf(in.Workers)
+	p.ampleFor = in.AmpleFor
 	for i, w := range in.Workers {
 		if _, ok := p.racks[w.Rack]; !ok {
 			p.rackNames = append(p.rackNames, w.Rack)
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -138,33 +138,43 @@
 	must.Eq(t, 28, len(plan(1).Placements[0].Workers), must.Sprint("nothing is reserved while most of the capacity is free"))
 }
 
+// waitingGang returns a fleet of four racks of two workers with one accelerator of every second worker in use, and a gang that prefers one rack and has
+// waited for long.
+func waitingGang(occupied int) Input {
+	in := Input{Workers: fleet(4, 2), AmpleFor: time.Minute}
+	for w := 0; w < len(in.Workers); w += 2 {
+		for range occupied {
+			occupy(&in, Run{Priority: 2}, w, oneAccelerator)
+		}
+	}
+	in.Requests = []Request{{Step: &batch.Step{Need: eightAccelerators, Gang: true, SameRack: true}, Count: 2, Gang: true, Priority: 1,
+		JobIdle: true, WaitTime: time.Minute}}
+	return in
+}
+
 // Guards against a gang that neither spans racks nor gets workers reserved while no single rack has room for it.
 func TestGangSpansRacksOrReservesWorkers(t *testing.T) {
-	for occupied := range emptyWorker.Accelerators + 1 { // on one worker of each rack
-		in := Input{Workers: fleet(4, 2)}
-		for w := 0; w < len(in.Workers); w += 2 {
-			for range occupied {
-				occupy(&in, Run{Priority: 2}, w, oneAccelerator)
-			}
-		}
+	for occupied := range emptyWorker.Accelerators + 1 {
+		in := waitingGang(occupied)
 		fits := in.Workers[0].Free.Covers(eightAccelerators)
-		in.Requests = []Request{{Step: &batch.Step{Need: eightAccelerators, Gang: true, SameRack: true}, Count: 2, Gang: true, Priority: 1,
-			WaitTime: 5 * time.Second}}
 		d := Plan(in)
 		must.Eq(t, 1, len(d.Placements)+len(d.Reserved), must.Sprintf("%d accelerators of half of the workers occupied", occupied))
 		must.True(t, fits || len(d.Reserved) == 1 || len(racksOf(in, d.Placements[0].Workers)) == 2)
 	}
 }
 
-// Guards against a gang that runs slower on several racks although one may soon have room.
-func TestGangWaitsForOneRackAtFirst(t *testing.T) {
-	in := Input{Workers: fleet(4, 2)}
-	for w := 0; w < len(in.Workers); w += 2 {
-		occupy(&in, Run{Priority: 2}, w, oneAccelerator)
+// Guards against a gang that runs slower on several racks although it need not.
+func TestGangWaitsForOneRack(t *testing.T) {
+	for name, change := range map[string]func(in *Input){
+		"waits since recently":          func(in *Input) { in.Requests[0].WaitTime = localityWaitLimit },
+		"capacity ample since recently": func(in *Input) { in.AmpleFor = localityWaitLimit },
+		"another task of the job runs":  func(in *Input) { in.Requests[0].JobIdle = false },
+		"doesn't fit twice over":        func(in *Input) { in.Workers[7].Free = batch.Resources{} },
+	} {
+		in := waitingGang(1)
+		change(&in)
+		must.SliceEmpty(t, Plan(in).Placements, must.Sprint(name))
 	}
-	in.Requests = []Request{{Step: &batch.Step{Need: eightAccelerators, Gang: true, SameRack: true}, Count: 2, Gang: true, Priority: 1,
-		WaitTime: localityWaitLimit}}
-	must.SliceEmpty(t, Plan(in).Placements)
 }
 
 // Guards against long-running tasks that wait for the rack of their data while capacity is scarce but sufficient elsewhere.
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -29,6 +29,9 @@
 // FreeShare returns the free share of the scarcest resource of the usable and the suspected workers.
 func FreeShare(workers []Worker) float64 { return freeShare(capacityOf(workers)) }
 
+// HasAmpleCapacity reports whether so much of each resource of the workers is free that waiting requests may use it in a wasteful way.
+func HasAmpleCapacity(workers []Worker) bool { return FreeShare(workers) >= ampleFreeShare }
+
 // capacityOf returns the free and the whole capacity of the usable and the suspected workers.
 func capacityOf(workers []Worker) (free, total batch.Resources) {
 	for _, w := range workers {
