Answer every request that a stopping host has read before its connection is closed

What callers saw: while a host was stopped by SIGTERM under load, the connection ended without a response to a request that the host had read. Under steady load the stop also took its whole limit, and the process ended by a panic.

Cause: Server.Stop waited until no request was being served and then closed all connections. Between the check and the close, a connection could read its next request, whose handler then ran on a closed connection. Under back-to-back requests the count rarely was 0 at a check, so the stop lasted until its limit and closed the connections of requests in progress. Bytes that had arrived but not been read made the kernel reset the connection, which can destroy a response that the caller has not read yet. A connection accepted just before the listener closed could be tracked after Stop and be served until the process ended. The goroutines of cut connections outlived Stop and logged after the log sink was closed: the panic "send on closed channel" in logsink.Sink.Write, called by serverConn.loop.

Why the change works: each connection is now closed by the goroutine that reads it, never while a handler runs. Stop only ends the current reads. A connection that then has no part of a request, neither in the parser nor in the socket, is closed; others are served first. The only connections that Stop itself closes are those left at its limit. Connections are not tracked any more once the server stops.

--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,7 +30,7 @@
 	// maxConnections bounds the connections of one server. It is below the number of file descriptors of the smallest hosts (4,100, of which
 	// 200 are for files).
 	maxConnections = 3000
-	// stopPollInterval is the interval at which Stop checks whether requests are being served.
+	// stopPollInterval is the interval at which Stop checks whether connections are open.
 	stopPollInterval = 5 * time.Millisecond
 )
 
@@ -39,7 +40,8 @@
 	engine   *nbhttp.Engine
 	log      logrus.FieldLogger
 	listener net.Listener
-	leaving  atomic.Bool
+	leaving  atomic.Bool // responses ask callers to close their connections
+	stopping atomic.Bool // connections are closed once all requests on them are answered
 	active   atomic.Int64
 
 	mu    sync.Mutex
@@ -80,12 +82,14 @@
 // StartDraining makes responses ask callers to close their connections, while the server continues to serve.
 func (s *Server) StartDraining() { s.leaving.Store(true) }
 
-// Stop closes the listener, waits until no request is being served or ctx ends, and closes all connections. The error states how many requests
-// were interrupted.
+// Stop closes the listener, and each connection as soon as all requests that have arrived on it are answered. When ctx ends, it closes
+// the remaining connections; the error states how many requests were interrupted.
 func (s *Server) Stop(ctx context.Context) error {
 	s.leaving.Store(true)
+	s.stopping.Store(true)
 	_ = s.listener.Close()
-	for s.active.Load() > 0 && ctx.Err() == nil {
+	s.wakeReaders()
+	for s.openConns() > 0 && ctx.Err() == nil {
 		time.Sleep(stopPollInterval)
 	}
 	interrupted := s.active.Load()
@@ -100,6 +104,21 @@
 	return nil
 }
 
+// wakeReaders ends the current reads of all connections, so that they detect that the server stops.
+func (s *Server) wakeReaders() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.conn.SetReadDeadline(time.Now())
+	}
+}
+
+func (s *Server) openConns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 func (s *Server) accept(ln net.Listener) {
 	netconn.Accept(ln, func(err error) { s.log.WithError(err).Warn("accept failed") }, func(conn net.Conn) {
 		c := &serverConn{server: s, conn: conn}
@@ -114,7 +133,7 @@
 func (s *Server) track(c *serverConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) >= maxConnections {
+	if s.stopping.Load() || len(s.conns) >= maxConnections {
 		return false
 	}
 	s.conns[c] = struct{}{}
@@ -143,12 +162,7 @@
 	defer parser.CloseAndClean(io.EOF)
 	buf := make([]byte, readBufferBytes)
 	for {
-		limit := idleTimeout
-		if c.requestStarted {
-			limit = requestTimeout
-		}
-		_ = c.conn.SetReadDeadline(time.Now().Add(limit))
-		n, err := c.conn.Read(buf)
+		n, err := c.read(buf)
 		if n > 0 {
 			c.requestStarted = true
 			if perr := parser.Parse(buf[:n]); perr != nil || c.handlerRunning {
@@ -162,6 +176,29 @@
 	}
 }
 
+// read reads the next bytes. It returns io.EOF if the server stops and no part of a request has arrived: closing the connection then loses no request
+// that was read.
+func (c *serverConn) read(buf []byte) (int, error) {
+	for {
+		limit := idleTimeout
+		if c.requestStarted {
+			limit = requestTimeout
+		}
+		end := time.Now().Add(limit)
+		_ = c.conn.SetReadDeadline(end)
+		// Stop sets stopping before it ends the reads, so that a read that doesn't see it is ended.
+		if c.server.stopping.Load() && !c.requestStarted {
+			if _, received := netconn.CheckIdle(c.conn); !received {
+				return 0, io.EOF
+			}
+		}
+		n, err := c.conn.Read(buf)
+		if endedByStop := n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(end); !endedByStop {
+			return n, err
+		}
+	}
+}
+
 // execute runs the handler and writes its response. The parser calls it for each complete request.
 func (c *serverConn) execute(f func()) bool {
 	c.server.active.Add(1)
--- a/internal/httpserve/httpserve_test.go
+++ b/internal/httpserve/httpserve_test.go
@@ -1,10 +1,13 @@
 package httpserve
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
+	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -80,6 +83,90 @@
 	must.Error(t, s.Stop(ctx))
 }
 
+// dial opens a connection to the server that is closed at the end of the test.
+func dial(t *testing.T, s *Server) net.Conn {
+	conn, err := net.Dial("tcp", s.Addr())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	must.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	return conn
+}
+
+// stopSoon calls Stop with a limit in its own goroutine and returns after it has begun to close connections.
+func stopSoon(s *Server, limit time.Duration) (stopped chan error) {
+	stopped = make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		stopped <- s.Stop(ctx)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	return stopped
+}
+
+// responses reads the connection to its end and returns the bodies of the responses on it.
+func responses(t *testing.T, conn net.Conn) (bodies []string) {
+	reader := bufio.NewReader(conn)
+	for {
+		if _, err := reader.Peek(1); err != nil {
+			must.ErrorIs(t, err, io.EOF)
+			return bodies
+		}
+		resp, err := http.ReadResponse(reader, nil)
+		must.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		must.NoError(t, err)
+		must.NoError(t, resp.Body.Close())
+		bodies = append(bodies, string(body))
+	}
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	time.Sleep(20 * time.Millisecond)
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body)
+}
+
+// Guards against a stop that closes a connection on which a request is arriving in pieces.
+func TestStopWaitsForTheRestOfARequest(t *testing.T) {
+	s := start(t, echo)
+	conn := dial(t, s)
+	_, err := io.WriteString(conn, "POST /p HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n\r\nab")
+	must.NoError(t, err)
+	time.Sleep(20 * time.Millisecond)
+	stopped := stopSoon(s, time.Minute)
+	_, err = io.WriteString(conn, "cd")
+	must.NoError(t, err)
+	must.Eq(t, []string{"abcd"}, responses(t, conn))
+	must.NoError(t, <-stopped)
+}
+
+// Guards against a stop that closes a connection after the first of several requests that were sent together; they exceed the read buffer.
+func TestStopAnswersRequestsSentTogether(t *testing.T) {
+	s := start(t, echo)
+	conn := dial(t, s)
+	body := strings.Repeat("x", 1000)
+	request := "POST /p HTTP/1.1\r\nHost: x\r\nContent-Length: 1000\r\n\r\n" + body
+	_, err := io.WriteString(conn, strings.Repeat(request, 10))
+	must.NoError(t, err)
+	stopped := stopSoon(s, time.Minute)
+	must.Eq(t, slices.Repeat([]string{body}, 10), responses(t, conn))
+	must.NoError(t, <-stopped)
+}
+
+// Guards against idle connections that delay a stop to its limit.
+func TestStopClosesIdleConnections(t *testing.T) {
+	s := start(t, echo)
+	idle, served := dial(t, s), dial(t, s)
+	_, err := io.WriteString(served, "GET /p HTTP/1.1\r\nHost: x\r\n\r\n")
+	must.NoError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	must.NoError(t, <-stopSoon(s, time.Minute))
+	must.SliceEmpty(t, responses(t, idle))
+	must.Eq(t, []string{""}, responses(t, served))
+}
+
 // Guards against a server that stops serving after bytes that are not a request, or after a body that is too large.
 func TestMalformedRequestsDoNotAffectOthers(t *testing.T) {
 	s := start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
