Answer requests in progress before the limit of a stop

What callers saw: a request that waited for the table when a host was stopped got no response if the wait lasted until the stop limit: the connection ended 5.5 s after SIGTERM. With the default time limit of 3 s that affects requests sent later than 2.5 s after SIGTERM, with a longer one all of them.

Cause: the handler of callers' requests was bounded only by the time limit of the caller. Server.Stop closed the connections at its limit while the handlers still waited.

Why the change works: the context of all requests of a server ends responseTime (0.5 s) before the limit of Stop.

--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -32,36 +32,43 @@
 	maxConnections = 3000
 	// stopPollInterval is the interval at which Stop checks whether connections are open.
 	stopPollInterval = 5 * time.Millisecond
+	// responseTime is the part of the time of Stop that is reserved for the responses to requests that are still in progress then. It allows a host
+	// with a fifth of a core to send some hundred of them.
+	responseTime = 500 * time.Millisecond
 )
 
 // Server serves one address.
 type Server struct {
-	address  string
-	engine   *nbhttp.Engine
-	log      logrus.FieldLogger
-	listener net.Listener
-	leaving  atomic.Bool // responses ask callers to close their connections
-	stopping atomic.Bool // connections are closed once all requests on them are answered
-	active   atomic.Int64
+	address     string
+	engine      *nbhttp.Engine
+	log         logrus.FieldLogger
+	listener    net.Listener
+	leaving     atomic.Bool     // responses ask callers to close their connections
+	stopping    atomic.Bool     // connections are closed once all requests on them are answered
+	requests    context.Context // of all requests
+	endRequests context.CancelFunc
+	active      atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*serverConn]struct{}
 }
 
-// New returns a server that does not listen yet. maxBody bounds the body of a request in bytes.
+// New returns a server that does not listen yet. maxBody bounds the body of a request in bytes. The handler has to respond soon after the context of
+// its request has ended.
 func New(address string, maxBody int, handler http.Handler, log logrus.FieldLogger) *Server {
 	s := &Server{address: address, log: log, conns: map[*serverConn]struct{}{}}
+	s.requests, s.endRequests = context.WithCancel(context.Background())
 	s.engine = nbhttp.NewEngine(nbhttp.Config{Name: address, Handler: s.wrap(handler), ReadLimit: maxBody + maxHeaderBytes, MaxHTTPBodySize: maxBody})
 	return s
 }
 
-// wrap asks callers to close their connections while the server is leaving.
+// wrap sets the context of requests, and asks callers to close their connections while the server is leaving.
 func (s *Server) wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.leaving.Load() {
 			w.Header().Set("Connection", "close")
 		}
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(w, r.WithContext(s.requests))
 	})
 }
 
@@ -82,16 +89,21 @@
 // StartDraining makes responses ask callers to close their connections, while the server continues to serve.
 func (s *Server) StartDraining() { s.leaving.Store(true) }
 
-// Stop closes the listener, and each connection as soon as all requests that have arrived on it are answered. When ctx ends, it closes
-// the remaining connections; the error states how many requests were interrupted.
+// Stop closes the listener, and each connection as soon as all requests that have arrived on it are answered. Requests that are in progress shortly
+// before the deadline of ctx are ended by their contexts. When ctx ends, Stop closes the remaining connections; the error states how many requests were
+// interrupted.
 func (s *Server) Stop(ctx context.Context) error {
 	s.leaving.Store(true)
 	s.stopping.Store(true)
 	_ = s.listener.Close()
 	s.wakeReaders()
+	if end, ok := ctx.Deadline(); ok {
+		defer time.AfterFunc(time.Until(end)-responseTime, s.endRequests).Stop()
+	}
 	for s.openConns() > 0 && ctx.Err() == nil {
 		time.Sleep(stopPollInterval)
 	}
+	s.endRequests()
 	interrupted := s.active.Load()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/httpserve/httpserve_test.go
+++ b/internal/httpserve/httpserve_test.go
@@ -167,6 +167,24 @@
 	must.Eq(t, []string{""}, responses(t, served))
 }
 
+// Guards against a request that gets no response because its handler waits for longer than the limit of the stop.
+func TestHandlersAreToldOfTheLimitOfAStop(t *testing.T) {
+	s := start(t, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-r.Context().Done():
+			_, _ = io.WriteString(w, "in time")
+		case <-time.After(2 * time.Second):
+		}
+	})
+	conn := dial(t, s)
+	_, err := io.WriteString(conn, "GET /p HTTP/1.1\r\nHost: x\r\n\r\n")
+	must.NoError(t, err)
+	time.Sleep(20 * time.Millisecond)
+	stopped := stopSoon(s, responseTime+100*time.Millisecond)
+	must.Eq(t, []string{"in time"}, responses(t, conn))
+	must.NoError(t, <-stopped)
+}
+
 // Guards against a server that stops serving after bytes that are not a request, or after a body that is too large.
 func TestMalformedRequestsDoNotAffectOthers(t *testing.T) {
 	s := start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
