--- a/internal/cli/daemon.go
+++ b/internal/cli/daemon.go
@@ -14,7 +14,7 @@
 )
 
 const daemonDescription = "Entry host daemon of samphirewell: routes service calls and schedules jobs under the plans of the teams. " +
-	"SIGTERM and SIGINT stop it gracefully; a second signal ends it at once."
+	"SIGTERM and SIGINT stop it gracefully; a second signal ends it at once, but on the users' platform only a second SIGINT does."
 
 // StartFunc runs an entry host until ctx ends, then stops it gracefully and returns.
 type StartFunc func(ctx context.Context, s api.Settings, log *logrus.Logger) error
