Don't wait for the rest of a silent request until the limit of a stop

A caller that had sent a part of a request and went silent kept a stopping host open for up to requestTimeout (5 s), that is until the limit of the stop, since the stop waits for requests that have begun to arrive.

While the server stops, the rest of a request has stopReadTimeout (1 s) to arrive.

--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -32,6 +32,8 @@
 	maxConnections = 3000
 	// stopPollInterval is the interval at which Stop checks whether connections are open.
 	stopPollInterval = 5 * time.Millisecond
+	// stopReadTimeout is how long the rest of a request may take to arrive while the server stops; it covers a lost packet.
+	stopReadTimeout = time.Second
 	// responseTime is the part of the time of Stop that is reserved for the responses to requests that are still in progress then. It allows a host
 	// with a fifth of a core to send some hundred of them.
 	responseTime = 500 * time.Millisecond
@@ -78,9 +80,13 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
+	s.serve(ln)
+	return nil
+}
+
+func (s *Server) serve(ln net.Listener) {
 	s.listener = ln
 	go s.accept(ln)
-	return nil
 }
 
 // Addr returns the address of the listener.
@@ -192,14 +198,14 @@
 // that was read.
 func (c *serverConn) read(buf []byte) (int, error) {
 	for {
-		limit := idleTimeout
-		if c.requestStarted {
-			limit = requestTimeout
-		}
-		end := time.Now().Add(limit)
+		stopping := c.server.stopping.Load()
+		end := time.Now().Add(c.readTimeout(stopping))
 		_ = c.conn.SetReadDeadline(end)
-		// Stop sets stopping before it ends the reads, so that a read that doesn't see it is ended.
-		if c.server.stopping.Load() && !c.requestStarted {
+		// Stop sets stopping before it ends the reads, so a read that begins before Stop is ended by it.
+		if stopping != c.server.stopping.Load() {
+			continue
+		}
+		if stopping && !c.requestStarted {
 			if _, received := netconn.CheckIdle(c.conn); !received {
 				return 0, io.EOF
 			}
@@ -211,6 +217,16 @@
 	}
 }
 
+func (c *serverConn) readTimeout(stopping bool) time.Duration {
+	switch {
+	case !c.requestStarted:
+		return idleTimeout
+	case stopping:
+		return stopReadTimeout
+	}
+	return requestTimeout
+}
+
 // execute runs the handler and writes its response. The parser calls it for each complete request.
 func (c *serverConn) execute(f func()) bool {
 	c.server.active.Add(1)
--- a/internal/httpserve/httpserve_test.go
+++ b/internal/httpserve/httpserve_test.go
@@ -201,3 +201,77 @@
 	must.Eq(t, "ok", text)
 	must.NoError(t, s.Stop(context.Background()))
 }
+
+// pausingListener accepts connections whose reads pause once bytes have arrived: each such read sends to arrived and waits for resume.
+type pausingListener struct {
+	net.Listener
+	arrived, resume chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l *pausingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &pausingConn{conn, l}, err
+}
+
+type pausingConn struct {
+	net.Conn
+	listener *pausingListener
+}
+
+// Read implements net.Conn.
+func (c *pausingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.listener.arrived <- struct{}{}
+		<-c.listener.resume
+	}
+	return n, err
+}
+
+func startPausing(t *testing.T, h http.HandlerFunc) (*Server, *pausingListener) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	pausing := &pausingListener{ln, make(chan struct{}), make(chan struct{})}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := New("", 1<<10, h, log)
+	s.serve(pausing)
+	return s, pausing
+}
+
+// Guards against a stop that closes the connection of a request that was read and whose handler has not started yet.
+func TestStopAnswersRequestsThatWereJustRead(t *testing.T) {
+	s, ln := startPausing(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") })
+	results := make(chan error, 1)
+	var text string
+	go func() {
+		var err error
+		text, _, err = post(s, "x")
+		results <- err
+	}()
+	<-ln.arrived
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(context.Background()) }()
+	time.Sleep(20 * time.Millisecond)
+	close(ln.resume)
+	must.NoError(t, <-results)
+	must.Eq(t, "whole", text)
+	must.NoError(t, <-stopped)
+}
+
+// Guards against a stop that waits for idle connections or, until its limit, for the rest of a request.
+func TestStopDoesNotWaitForSilentCallers(t *testing.T) {
+	s := start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
+	for _, sent := range []string{"", "POST /p HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nx"} {
+		conn, err := net.Dial("tcp", s.Addr())
+		must.NoError(t, err)
+		defer conn.Close()
+		_, err = conn.Write([]byte(sent))
+		must.NoError(t, err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	begin := time.Now()
+	must.NoError(t, s.Stop(context.Background()))
+	must.Less(t, requestTimeout/2, time.Since(begin))
+}
