Log how many connections and requests a stopping host closed

Each server now logs one line when it has stopped: its open connections and requests in progress at the beginning, and both at the end.

Measured: the tests of httpserve and the six cases of TestStoppingHostAnswersAllRequestsItHasRead passed.

--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -97,11 +97,12 @@
 
 // Stop closes the listener, and each connection as soon as all requests that have arrived on it are answered. Requests that are in progress shortly
 // before the deadline of ctx are ended by their contexts. When ctx ends, Stop closes the remaining connections; the error states how many requests were
-// interrupted.
+// interrupted. One log line states how many connections and requests there were at the beginning and at the end.
 func (s *Server) Stop(ctx context.Context) error {
 	s.leaving.Store(true)
 	s.stopping.Store(true)
 	_ = s.listener.Close()
+	log := s.log.WithFields(logrus.Fields{"address": s.address, "connections": s.openConns(), "in_progress": s.active.Load()})
 	s.wakeReaders()
 	if end, ok := ctx.Deadline(); ok {
 		defer time.AfterFunc(time.Until(end)-responseTime, s.endRequests).Stop()
@@ -111,6 +112,7 @@
 	}
 	s.endRequests()
 	interrupted := s.active.Load()
+	log.WithFields(logrus.Fields{"left_open": s.openConns(), "interrupted": interrupted}).Info("connections closed")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
