Log connections that break before the caller has read the last response

The logs of the hosts can't tell whether the host, the caller or the network ended a connection, or whether the response had been written. A server now logs one line for a connection on which a response couldn't be written or that the other end reset: the caller's address, the number of requests served, and the time since the last one. A connection that the server closes itself gets no line; the summary of the stop counts those. At most one line a connection, and none for connections that end normally.

--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -9,6 +9,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
@@ -171,14 +172,32 @@
 type serverConn struct {
 	server         *Server
 	conn           net.Conn
-	requestStarted bool // the first bytes of a request have arrived
-	handlerRunning bool // the handler is running or has panicked
+	requestStarted bool      // the first bytes of a request have arrived
+	handlerRunning bool      // the handler is running or has panicked
+	requests       int       // number of requests whose handler has returned
+	lastRequest    time.Time // when the handler last returned
+}
+
+// responseConn is the connection to which responses are written. It keeps the first error.
+type responseConn struct {
+	net.Conn
+	err error
+}
+
+// Write implements net.Conn.
+func (r *responseConn) Write(b []byte) (int, error) {
+	n, err := r.Conn.Write(b)
+	if r.err == nil {
+		r.err = err
+	}
+	return n, err
 }
 
 func (c *serverConn) loop() {
 	defer c.server.untrack(c)
 	defer c.conn.Close()
-	parser := nbhttp.NewParser(c.conn, c.server.engine, nbhttp.NewServerProcessor(), false, c.execute)
+	responses := &responseConn{Conn: c.conn}
+	parser := nbhttp.NewParser(responses, c.server.engine, nbhttp.NewServerProcessor(), false, c.execute)
 	defer parser.CloseAndClean(io.EOF)
 	buf := make([]byte, readBufferBytes)
 	for {
@@ -191,11 +210,25 @@
 			}
 		}
 		if err != nil {
+			c.logBroken(err, responses.err)
 			return
 		}
 	}
 }
 
+// logBroken logs that a response could not be written, or that the connection was reset by the other end, which may not have read the last response.
+func (c *serverConn) logBroken(readErr, writeErr error) {
+	err := writeErr
+	if err == nil && errors.Is(readErr, syscall.ECONNRESET) {
+		err = readErr
+	}
+	if err == nil || c.requests == 0 || errors.Is(err, net.ErrClosed) { // Stop closes connections too, and logs how many
+		return
+	}
+	c.server.log.WithFields(logrus.Fields{"caller": c.conn.RemoteAddr().String(), "requests": c.requests,
+		"since_request_ms": time.Since(c.lastRequest).Milliseconds()}).WithError(err).Info("connection broken by the caller or the network")
+}
+
 // read reads the next bytes. It returns io.EOF if the server stops and no part of a request has arrived: closing the connection then loses no request
 // that was read.
 func (c *serverConn) read(buf []byte) (int, error) {
@@ -237,5 +270,7 @@
 	f()
 	c.handlerRunning = false
 	c.requestStarted = false
+	c.requests++
+	c.lastRequest = time.Now()
 	return true
 }
--- a/internal/httpserve/httpserve_test.go
+++ b/internal/httpserve/httpserve_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 )
 
 func start(t *testing.T, h http.HandlerFunc) *Server {
@@ -185,6 +186,34 @@
 	must.NoError(t, <-stopped)
 }
 
+// Guards against logs that don't show that a caller broke the connection before it had read the response, and against such lines for connections that
+// end normally.
+func TestBrokenConnectionsAreLogged(t *testing.T) {
+	log, hook := logtest.NewNullLogger()
+	entered := make(chan struct{}, 2)
+	s := New("127.0.0.1:0", 1<<10, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		entered <- struct{}{}
+		echo(w, r)
+	}), log)
+	must.NoError(t, s.Start())
+	send := func() net.Conn {
+		conn := dial(t, s)
+		_, err := io.WriteString(conn, "GET /p HTTP/1.1\r\nHost: x\r\n\r\n")
+		must.NoError(t, err)
+		<-entered
+		return conn
+	}
+	normal, broken := send(), send()
+	must.NoError(t, broken.(*net.TCPConn).SetLinger(0))
+	must.NoError(t, broken.Close())
+	must.NoError(t, <-stopSoon(s, time.Minute))
+	must.Eq(t, []string{""}, responses(t, normal))
+	lines := slices.DeleteFunc(hook.AllEntries(), func(e *logrus.Entry) bool { return e.Message != "connection broken by the caller or the network" })
+	must.Len(t, 1, lines)
+	must.Eq(t, any(broken.LocalAddr().String()), lines[0].Data["caller"])
+	must.Eq(t, any(1), lines[0].Data["requests"])
+}
+
 // Guards against a server that stops serving after bytes that are not a request, or after a body that is too large.
 func TestMalformedRequestsDoNotAffectOthers(t *testing.T) {
 	s := start(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok") })
