--- a/internal/dispatch/starvation_test.go
+++ b/internal/dispatch/starvation_test.go
@@ -66,6 +66,9 @@
 // step returns the last step of the job, which is the one that has to start.
 func (c *waitCheck) step() (int, batch.Step) {
 	steps := c.fleet.jobs[c.job].Steps
+	if len(steps) == 0 { // not submitted yet
+		return 0, batch.Step{}
+	}
 	return len(steps) - 1, steps[len(steps)-1]
 }
 
@@ -80,24 +83,36 @@
 		}
 		limit := step.Tasks * roomFactor
 		if step.MaxPerWorker > 0 {
-			limit = step.MaxPerWorker
+			limit = step.MaxPerWorker - c.tasksOn(w)
 		}
 		n += max(0, w.Capacity.Minus(batch.Resources(w.used())).FitCount(step.Need, limit))
 	}
 	return n
 }
 
-// hasStarted reports whether a worker runs a task of the job's last step.
+// hasStarted reports whether workers run a task of the job's last step, or all its tasks if they are long-running.
 func (c *waitCheck) hasStarted() bool {
-	step, _ := c.step()
+	_, step := c.step()
+	n := 0
 	for _, w := range c.fleet.workers {
-		for name := range w.running {
-			if id, _ := batch.ParseTaskID(name); id.Job == c.job && id.Step == step {
-				return true
-			}
+		n += c.tasksOn(w)
+	}
+	if step.LongRunning {
+		return n == step.Tasks
+	}
+	return n > 0
+}
+
+// tasksOn returns how many tasks of the job's last step run on a worker.
+func (c *waitCheck) tasksOn(w *fakeWorker) int {
+	step, _ := c.step()
+	n := 0
+	for name := range w.running {
+		if id, _ := batch.ParseTaskID(name); id.Job == c.job && id.Step == step {
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // couldRun reports whether the users expect the last step of the job to start: there is room for it roomFactor times over, and most of the fleet is
