--- a/internal/dispatch/starvation_test.go
+++ b/internal/dispatch/starvation_test.go
@@ -336,6 +336,35 @@
 	(&waitCheck{system: s, job: j.ID, suspectedToo: true}).mustStart(time.Minute)
 }
 
+// calmTime is the time after a fault after which the users expect jobs to start within startLimit again.
+const calmTime = 4 * time.Second
+
+// Guards against a job that waits although all workers respond again, because they are in quarantine after a long cut of the network.
+func TestJobStartsAfterAllWorkersWereUnreachable(t *testing.T) {
+	for _, cut := range []time.Duration{time.Second, 5 * time.Second, 10 * time.Second, 20 * time.Second, 40 * time.Second} {
+		t.Run(cut.String(), func(t *testing.T) {
+			const workers = 4
+			s := newPool(t, 1, workers)
+			s.fleet.noFaults = false
+			s.submit(smallTasksNearData("small", workers, 0)) // the leader polls workers that have runs
+			s.run(2 * testStep)
+			s.fleet.setRunTime("small", time.Minute)
+			for _, w := range s.fleet.workers {
+				w.unreachable = true
+			}
+			s.run(cut)
+			for _, w := range s.fleet.workers {
+				w.unreachable = false
+			}
+			j := simpleJob("waiting", "normal", 1, 1, smallTask)
+			j.Steps[0].LongRunning = true
+			s.submit(j)
+			s.run(calmTime)
+			(&waitCheck{system: s, job: j.ID, suspectedToo: true}).mustStart(time.Minute)
+		})
+	}
+}
+
 // Guards against latency-sensitive and best-effort tasks that wait without limit for a worker on which the other kind doesn't run, when there is none.
 func TestServingAndBestEffortTasksStartWhileAllWorkersRunTheOtherKind(t *testing.T) {
 	for _, serves := range []bool{false, true} {
