--- a/internal/dispatch/starvation_test.go
+++ b/internal/dispatch/starvation_test.go
@@ -336,8 +336,8 @@
 	(&waitCheck{system: s, job: j.ID, suspectedToo: true}).mustStart(time.Minute)
 }
 
-// calmTime is the time after a fault after which the users expect jobs to start within startLimit again.
-const calmTime = 4 * time.Second
+// settleTime is the time after a fault after which the users expect jobs to start within startLimit again.
+const settleTime = 4 * time.Second
 
 // Guards against a job that waits although all workers respond again, because they are in quarantine after a long cut of the network.
 func TestJobStartsAfterAllWorkersWereUnreachable(t *testing.T) {
@@ -359,7 +359,7 @@
 			j := simpleJob("waiting", "normal", 1, 1, smallTask)
 			j.Steps[0].LongRunning = true
 			s.submit(j)
-			s.run(calmTime)
+			s.run(settleTime)
 			(&waitCheck{system: s, job: j.ID, suspectedToo: true}).mustStart(time.Minute)
 		})
 	}
