Decide once a cycle whether capacity is ample, and let all preferences end together

The free share was brought up to date within a cycle.

Whether capacity is ample is decided at the beginning of a cycle again. Where it has been so for 2 s, a job of which nothing runs may use other racks than it prefers and, if it lacks room elsewhere, workers on which it failed, and nothing is held for urgent work that is too expensive.

--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -48,14 +48,17 @@
 	return nil
 }
 
-// mayLeaveRack reports whether the request may run outside the single rack or the data's rack that its step prefers, where it runs slower. While
-// capacity is scarce, or another task of the job runs, waiting for that rack saves capacity; a long-running task should run at all times, however scarce
-// capacity is.
+// preferencesExpired reports whether the request has waited so long beside ample capacity that it should start anywhere. While capacity is scarce, or
+// another task of the job runs, waiting for the preferred workers saves capacity.
+func (p *planner) preferencesExpired(r *Request) bool {
+	return r.JobIdle && p.ample && min(r.WaitTime, p.ampleFor) > localityWaitLimit
+}
+
+// mayLeaveRack reports whether the request may run outside the single rack or the data's rack that its step prefers, where it runs slower. A
+// long-running task should run at all times, however scarce capacity is.
 func (p *planner) mayLeaveRack(r *Request) bool {
-	if r.MaySpanRacks || r.Step.LongRunning && r.WaitTime > localityWaitLimit {
-		return true
-	}
-	return r.JobIdle && min(r.WaitTime, p.ampleFor) > localityWaitLimit && p.hasAmpleCapacity() && p.fitsFreeWorkers(r, spareRoomFactor*r.minTasks())
+	return r.MaySpanRacks || r.Step.LongRunning && r.WaitTime > localityWaitLimit ||
+		p.preferencesExpired(r) && p.fitsFreeWorkers(r, spareRoomFactor*r.minTasks())
 }
 
 // fitsFreeWorkers reports whether count tasks fit on the free capacity of all workers.
@@ -76,9 +79,13 @@
 	return p.fitsIfEmpty(r, p.racks[r.Step.DataRack], r.minTasks())
 }
 
-// needsAvoidedWorkers reports whether the request can't start on the other workers even if these ran nothing but their long-running tasks.
+// needsAvoidedWorkers reports whether the request can't start on the other workers, even if these ran nothing but their long-running tasks, or should
+// start now and lacks room there.
 func (p *planner) needsAvoidedWorkers(r *Request) bool {
-	return len(r.AvoidedWorkers) > 0 && !p.fitsIfEmpty(r, p.allWorkers, r.minTasks())
+	if len(r.AvoidedWorkers) == 0 {
+		return false
+	}
+	return !p.fitsIfEmpty(r, p.allWorkers, r.minTasks()) || p.preferencesExpired(r) && !p.fitsFreeWorkers(r, spareRoomFactor*r.minTasks())
 }
 
 // minTasks returns how many tasks of the request have to start at the same time.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -21,7 +21,7 @@
 	// reserved instead. With more free capacity a reservation only keeps other requests waiting: the users expect every task to run while half of the
 	// capacity is free. The difference between the half and this value allows for capacity that becomes free between two cycles.
 	ampleFreeShare = 0.4
-	// localityWaitLimit is how long a request waits for the racks that it prefers while capacity is ample. The users expect it to start within 3 s then.
+	// localityWaitLimit is how long a request waits for the workers that it prefers while capacity is ample. The users expect it to start within 3 s then.
 	localityWaitLimit = 2 * time.Second
 	// spareRoomFactor is how many times over the tasks that have to start together fit on free workers before they may leave the racks that they prefer:
 	// they hold the capacity longer there.
@@ -130,16 +130,15 @@
 	allWorkers         []int
 	runsByWorker       [][]int // runs on each worker, cheapest first
 	preempted          []bool
-	freeBeyondHeadroom float64         // free capacity beyond the headroom, core equivalents
-	free, total        batch.Resources // of the usable and the suspected workers
-	ampleFor           time.Duration   // how long capacity has been ample
+	freeBeyondHeadroom float64       // free capacity beyond the headroom, core equivalents
+	ample              bool          // capacity is ample
+	ampleFor           time.Duration // how long it has been
 	decision           Decision
 }
 
 func newPlanner(in Input) *planner {
 	p := &planner{workers: in.Workers, runs: in.Runs, requests: in.Requests, racks: map[string][]int{}, preempted: make([]bool, len(in.Runs))}
-	p.free, p.total = capacityOf(in.Workers)
-	p.ampleFor = in.AmpleFor
+	p.ample, p.ampleFor = HasAmpleCapacity(in.Workers), in.AmpleFor
 	for i, w := range in.Workers {
 		if _, ok := p.racks[w.Rack]; !ok {
 			p.rackNames = append(p.rackNames, w.Rack)
@@ -154,9 +153,6 @@
 	return p
 }
 
-// hasAmpleCapacity reports whether at least ampleFreeShare of each resource is free.
-func (p *planner) hasAmpleCapacity() bool { return freeShare(p.free, p.total) >= ampleFreeShare }
-
 // planRequest places the tasks of a request that fit, and preempts runs or reserves workers for the rest.
 func (p *planner) planRequest(i int) {
 	r := &p.requests[i]
@@ -208,7 +204,7 @@
 		for _, v := range victims {
 			p.preempt(v, preemptor)
 		}
-	} else if p.hasAmpleCapacity() {
+	} else if p.ample && p.ampleFor > localityWaitLimit {
 		return
 	}
 	// While capacity is scarce, the workers are allocated even if preempting the victims costs too much, so that later requests don't use what is free
@@ -220,7 +216,6 @@
 func (p *planner) allocate(r *Request, workers []int) {
 	p.freeBeyondHeadroom -= float64(len(workers)) * r.Step.Need.CoreEquivalents()
 	for _, w := range workers {
-		p.free = p.free.Minus(r.Step.Need)
 		p.workers[w].Free = p.workers[w].Free.Minus(r.Step.Need)
 		p.workers[w].FutureFree = p.workers[w].FutureFree.Minus(r.Step.Need)
 		if r.Step.MaxPerWorker > 0 {
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -10,7 +10,7 @@
 // reserve excludes workers from the placement of later requests, so that a stream of small requests doesn't starve a large gang.
 func (p *planner) reserve(request int) {
 	r := &p.requests[request]
-	if p.hasAmpleCapacity() || !r.Gang || r.WaitTime < reserveAfter || len(p.decision.Reserved) >= maxReservations {
+	if p.ample || !r.Gang || r.WaitTime < reserveAfter || len(p.decision.Reserved) >= maxReservations {
 		return
 	}
 	workers := p.workersToReserve(r)
