Bound the pages of a listing instead of the whole listing

A host that starts while the table is slow answers queries without a copy of the states: it knows neither the leader nor the ends of jobs and reads the inbox for each query, until the table is fast again.

The follower bounded the whole listing by 1.5 s and began again after that, so a table with more pages than fit into the limit was never listed: six pages of 500 rows at 0.25 s each. Evidence: 18 pages of 0.1 s weren't listed within 10 s before the change:

rowstore_test.go:163: not reached within 10 s: the table is listed

The limit now holds for each page, so progress isn't lost and the time may grow with the table. A page without a response still ends the listing after 1.5 s.

--- a/internal/rowstore/follower.go
+++ b/internal/rowstore/follower.go
@@ -93,8 +93,6 @@
 }
 
 func (f *Follower) list(ctx context.Context) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, feedWait+feedSlack)
-	defer cancel()
 	rows, version, err := ScanAll(ctx, f.Store, f.Table, f.Partitions)
 	if err != nil {
 		return 0, err
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -111,11 +111,21 @@
 	return rows, oldest, nil
 }
 
+// pageTimeout bounds the scan of one page. A listing as a whole isn't bounded, since its time grows with the table.
+const pageTimeout = 1500 * time.Millisecond
+
+// scanPage returns the first rows of a partition from a key on.
+func scanPage(ctx context.Context, s Store, table, partition, from string) (ScanResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+	defer cancel()
+	return s.Scan(ctx, table, partition, Range{From: from})
+}
+
 // scanPartition returns all rows of a partition and the version of the first page.
 func scanPartition(ctx context.Context, s Store, table, partition string) (rows []Row, version uint64, err error) {
 	from := ""
 	for first := true; ; first = false {
-		r, err := s.Scan(ctx, table, partition, Range{From: from})
+		r, err := scanPage(ctx, s, table, partition, from)
 		if err != nil {
 			return nil, 0, err
 		}
--- a/internal/rowstore/rowstore_test.go
+++ b/internal/rowstore/rowstore_test.go
@@ -151,3 +151,27 @@
 	s.SetFault(nil)
 	eventually(t, "fresh again", func() bool { return f.Age(time.Now()) < 1500*time.Millisecond })
 }
+
+// Guards against a host without a copy of a large table for as long as the store is slow: each listing would be broken off and begun again.
+func TestFollowerListsManyPagesOfASlowStore(t *testing.T) {
+	const rows = 9000 // 18 pages, which take 1.8 s
+	s := memstore.New()
+	for i := range rows {
+		s.Put(rowKey("", fmt.Sprintf("%05d", i)), []byte("x"))
+	}
+	c, _ := startFollower(t, boundedSlowStore{s})
+	eventually(t, "the table is listed", func() bool { return c.get("08999") == "x" })
+}
+
+// boundedSlowStore delays each scan by 100 ms, and responds to no scan whose context ends before that.
+type boundedSlowStore struct{ rowstore.Store }
+
+// Scan implements rowstore.Store.
+func (s boundedSlowStore) Scan(ctx context.Context, table, partition string, keys rowstore.Range) (rowstore.ScanResult, error) {
+	select {
+	case <-time.After(100 * time.Millisecond):
+		return s.Store.Scan(ctx, table, partition, keys)
+	case <-ctx.Done():
+		return rowstore.ScanResult{}, rowstore.ErrUncertain
+	}
+}
