End a call between hosts in time while a write is blocked

A query at one host could take 2 s instead of the 0.4 s for which the leader is asked, if the connection to the leader was full because the leader read nothing: a host that was suspended, or a connection that went silent while calls to the table were relayed over it. A caller with less time left got no answer although the host had a copy of the state.

jsonrpc2 writes a request under a lock and regards the context of a call only after the write. Requests of all callers to a host share the connection, so each waited for the blocked write, up to writeTimeout (2 s).

The call now runs beside its caller, who returns at the end of the context. That counts as a call without a response, and four of these close the connection, which ends the blocked writes too.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"compress/flate"
 	"context"
+	"crypto/rand"
 	"encoding/binary"
 	"encoding/json"
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -221,3 +223,57 @@
 	_, err = call(t, p, address, "x")
 	must.NoError(t, err)
 }
+
+// Guards against a call that exceeds its time limit because another call is blocked while it sends to a host that reads nothing.
+func TestCallEndsInTimeWhileAHostReadsNothing(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer ln.Close()
+	go serveHelloOnly(t.Context(), ln)
+	p := NewPool(identity("client"), dialWithSmallBuffer, clock.Real{}, NewStats())
+	defer p.Close()
+	large := make([]byte, MaxMessageBytes*2/3)
+	_, _ = rand.Read(large)
+	var group sync.WaitGroup
+	defer group.Wait()
+	limited := func(params any) {
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		_ = p.Call(ctx, ln.Addr().String(), "echo", params, &echo{})
+	}
+	limited(echo{})
+	for range 24 {
+		group.Go(func() { limited(large) })
+	}
+	time.Sleep(100 * time.Millisecond)
+	begin := time.Now()
+	limited(echo{})
+	must.Less(t, time.Second, time.Since(begin))
+}
+
+// dialWithSmallBuffer opens a connection that holds few unsent bytes, as over a link with small windows.
+func dialWithSmallBuffer(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.(*net.TCPConn).SetWriteBuffer(4096)
+}
+
+// serveHelloOnly responds to the hello of one connection and then reads nothing.
+func serveHelloOnly(ctx context.Context, ln net.Listener) {
+	conn, err := ln.Accept()
+	if err != nil {
+		return
+	}
+	s := newStream(conn, NewStats())
+	var req jsonrpc2.Request
+	if s.ReadObject(&req) != nil {
+		return
+	}
+	resp := &jsonrpc2.Response{ID: req.ID}
+	_ = resp.SetResult(api.HelloResponse{ProtocolVersion: ProtocolVersion})
+	_ = s.WriteObject(resp)
+	<-ctx.Done()
+	_ = conn.Close()
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -175,7 +176,7 @@
 }
 
 func (l *link) call(ctx context.Context, conn *jsonrpc2.Conn, method string, params, result any) error {
-	err := conn.Call(ctx, method, params, result)
+	err := callWithin(ctx, conn, method, params, result)
 	var rpcErr *jsonrpc2.Error
 	switch {
 	case err == nil:
@@ -193,6 +194,22 @@
 	return errors.Wrapf(ErrUncertain, "%s to %s: %v", method, l.address, err)
 }
 
+// callWithin makes a call and returns when ctx ends, also while the request waits behind others that are blocked in a write.
+func callWithin(ctx context.Context, conn *jsonrpc2.Conn, method string, params, result any) error {
+	var response json.RawMessage
+	done := make(chan error, 1)
+	go func() { done <- conn.Call(ctx, method, params, &response) }()
+	select {
+	case err := <-done:
+		if err != nil || result == nil {
+			return err
+		}
+		return errors.WithStack(json.Unmarshal(response, result))
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (l *link) shutdown() {
 	l.closed.Store(true)
 	if c := l.conn.Load(); c != nil {
