Continue to serve other hosts after a failed accept

What callers saw: nothing that was traced to this; it was found while reading for goroutines that end before their owner. A host on which one accept failed was no longer reachable for the others until its next start. Questions for the state of a job that need such a leader fall back to the stored states, and the others take the leader for lost.

Cause: peer.Server.Serve returned at the first error of Accept. File descriptors may run out for a moment: callers may hold 3,000 connections of about 3,900, and a leader keeps connections to each worker.

Evidence: the new test has the first Accept fail with EMFILE. Before the change it failed: hello to 127.0.0.1:40795: context deadline exceeded.

Fix: Serve accepts by netconn.Accept, as the server for callers does: it reports the error, pauses 10 ms and goes on until the listener is closed.

Measured: go test -race passes for internal/peer (3 times), internal/entry, and -run 'Socket|Peer' for internal/callkey.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -177,7 +177,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
 	for _, loop := range []func(context.Context){
-		func(context.Context) { _ = h.peerServer.Serve(h.peerListener) },
+		func(context.Context) { h.peerServer.Serve(h.peerListener, h.logFailedAccept) },
 		h.member.Run, h.keyService.Run, h.watcher.Run, h.pollHostList, h.followConfig, h.exchangeShares, h.controller.Run, h.recordRefusals, h.archive,
 		func(ctx context.Context) { h.shareNode.Run(ctx, h.platform, h.clock) },
 	} {
@@ -185,6 +185,10 @@
 	}
 }
 
+func (h *Host) logFailedAccept(err error) {
+	h.log.WithError(err).Warn("accept of another host's connection failed")
+}
+
 // spawn runs f in a goroutine that Kill waits for. After Kill it does nothing, since the handler of a request of a peer may still call
 // it then.
 func (h *Host) spawn(f func()) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -45,7 +46,7 @@
 		},
 	}
 	s := NewServer(identity("server"), methods, NewStats())
-	go func() { _ = s.Serve(ln) }()
+	go s.Serve(ln, func(err error) { t.Errorf("accept: %v", err) })
 	t.Cleanup(func() {
 		_ = ln.Close()
 		s.Close()
@@ -277,3 +278,37 @@
 	<-ctx.Done()
 	_ = conn.Close()
 }
+
+// failingListener fails its first Accept, as one does while no file descriptor is free.
+type failingListener struct {
+	net.Listener
+	failed bool
+}
+
+// Accept implements net.Listener.
+func (l *failingListener) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, syscall.EMFILE
+	}
+	return l.Listener.Accept()
+}
+
+// Guards against a host that other hosts can't reach any more after one failed accept.
+func TestServerContinuesAfterAFailedAccept(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	s := NewServer(identity("server"), Registry{"echo": Handle(func(_ context.Context, _ api.HostIdentity, e echo) (echo, error) { return e, nil })}, NewStats())
+	failures := make(chan error, 1)
+	go s.Serve(&failingListener{Listener: ln}, func(err error) { failures <- err })
+	t.Cleanup(func() {
+		_ = ln.Close()
+		s.Close()
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	var got echo
+	must.NoError(t, startPool(t, clock.Real{}).Call(ctx, ln.Addr().String(), "echo", echo{Text: "x"}, &got))
+	must.Eq(t, "x", got.Text)
+	must.ErrorIs(t, <-failures, syscall.EMFILE)
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"samphirewell/internal/api"
+	"samphirewell/internal/netconn"
 )
 
 // discardLogger discards the library's log lines about broken connections; the counters show them.
@@ -34,18 +35,9 @@
 	return &Server{self: self, methods: methods, stats: stats, conns: map[*jsonrpc2.Conn]struct{}{}}
 }
 
-// Serve accepts connections until the listener is closed, then returns nil.
-func (s *Server) Serve(ln net.Listener) error {
-	for {
-		conn, err := ln.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return nil
-		}
-		if err != nil {
-			return errors.Wrap(err, "accept peer connection")
-		}
-		s.startSession(conn)
-	}
+// Serve accepts connections until the listener is closed. Other errors are passed to onError, and accepting continues.
+func (s *Server) Serve(ln net.Listener, onError func(error)) {
+	netconn.Accept(ln, onError, s.startSession)
 }
 
 func (s *Server) startSession(conn net.Conn) {
