--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -92,10 +92,14 @@
 	s := &Sink{out: out}
 	_, _ = s.Write([]byte("aaaa\n"))
 	written := make(chan bool, 1)
-	go func() { written <- s.flush() && s.flush() }()
+	go func() {
+		written <- s.flush()
+		written <- s.flush()
+	}()
 	<-out.entered
 	out.unblock <- struct{}{}
 	must.True(t, <-written)
+	must.True(t, <-written)
 
 	_, _ = s.Write([]byte("bbbb\n"))
 	go func() { written <- s.flush() }()
