Stop accepting before a stand-in stops nbio's engine

What callers saw: nothing; stand-ins run only in tests, benchmarks and demos. Their Close could wait forever.

Cause: nbio's Engine.Stop closes the connections that it finds and then waits for all that were opened. One that is accepted in between is counted and never closed, unless its caller closes it. The count may also grow from 0 while Stop waits for it, which the race detector reports.

Fix: Close first closes the port and waits until nbio asks for a further connection, which shows that it has taken over the last one. Only then it stops the engine, which then finds all connections.

--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -34,6 +34,7 @@
 // server is an HTTP server on loopback with one poller and a connection limit.
 type server struct {
 	engine         *nbhttp.Engine
+	listener       *limitListener
 	addr           string
 	closed         chan struct{} // closed by Close, so that waiting handlers return
 	closeOnce      sync.Once
@@ -68,6 +69,7 @@
 		return errors.Wrap(err, "listen")
 	}
 	s.addr = listener.Addr().String()
+	s.listener = &limitListener{Listener: listener, server: s, acceptEnded: make(chan struct{}), engineStops: make(chan struct{})}
 	s.engine = nbhttp.NewEngine(nbhttp.Config{
 		Network:           "tcp",
 		Addrs:             []string{s.addr},
@@ -77,7 +79,7 @@
 		Handler:           handler,
 		ServerExecutor:    func(f func()) { go f() },
 		Listen: func(string, string) (net.Listener, error) {
-			return &limitListener{listener, s}, nil
+			return s.listener, nil
 		},
 	})
 	s.engine.OnOpen(s.connOpened)
@@ -113,6 +115,7 @@
 func (s *server) Close() {
 	s.closeOnce.Do(func() {
 		close(s.closed)
+		s.listener.stopAccepting()
 		s.engine.Stop()
 	})
 }
@@ -165,13 +168,35 @@
 // limitListener immediately closes new connections above the limit.
 type limitListener struct {
 	net.Listener
-	server *server
+	server          *server
+	acceptEnded     chan struct{} // closed when nbio has taken over the last connection
+	acceptEndedOnce sync.Once
+	engineStops     chan struct{} // closed by Close, which the engine calls when it stops
+	engineStopsOnce sync.Once
 }
 
-// Accept returns the next connection that is within the limit.
+// stopAccepting closes the port and waits until nbio has taken over the last connection. In nbio v1.6.8, Stop closes the connections that it finds and
+// then waits for all that were opened, so it would wait forever for one that is accepted meanwhile.
+func (l *limitListener) stopAccepting() {
+	_ = l.Listener.Close()
+	<-l.acceptEnded
+}
+
+// Close closes the port and lets Accept return its error.
+func (l *limitListener) Close() error {
+	l.engineStopsOnce.Do(func() { close(l.engineStops) })
+	return l.Listener.Close()
+}
+
+// Accept returns the next connection that is within the limit. Once the port is closed it returns only when the engine stops, since nbio would call it
+// again at once.
 func (l *limitListener) Accept() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			l.acceptEndedOnce.Do(func() { close(l.acceptEnded) })
+			<-l.engineStops
+		}
 		if err != nil {
 			return nil, err
 		}
