Count an outage of a worker as one failure

Each renewal without a response added to the suspicion of a worker, every 0.4 s, and the quarantine doubled up to 16 s. Workers that were cut off together for some seconds therefore got no new work for up to 8.75 s after they responded again, with nothing else to run on.

An unresponsive worker gets no work anyway, until it responds. Only the first renewal without a response adds to its suspicion now.

--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -340,7 +340,9 @@
 func (c *Core) OnRenewalFailed(id string, renewal Renewal, now time.Duration) {
 	c.now = now
 	if w := c.workers[id]; w != nil {
-		w.health.addFailure(now, 1)
+		if !w.unresponsive {
+			w.health.addFailure(now, 1)
+		}
 		w.unresponsive = true
 		if renewal.Wait == 0 {
 			c.requestRenewal(w)
