End preferences for gangs with tickets and for interrupted long-running tasks too

Found in review and by the property test, each shown by a test that failed: - A gang that may leave its rack had to fit twice over on workers with a ticket, but advice is requested until it fits once (TestGangWithTicketsLeavesItsRack: not started after 3.05 s, 24 tasks fit). The same condition left a gang with a label neither placed nor reserved (TestGangWithLabelSpansRacksOrReservesWorkers).

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -455,7 +455,7 @@
 	r.MaySpanRacks = r.MayPreempt && waited > spanRacksAfter
 	r.PreemptionBudget = c.preemptionBudget(g, guaranteed[g.job], waited)
 	r.BestEffort = spec.Checkpoints && g.job.Queue.Priority > 1
-	r.JobIdle = g.job.idle()
+	r.Interrupted, r.JobIdle = g.run > 0, g.job.idle()
 	r.TasksPerWorker = c.tasksPerWorker(in, g)
 	r.AvoidedWorkers = c.avoidedWorkers(in, g)
 	r.AllowedWorkers = c.allowedWorkers(in, g, now)
--- a/internal/dispatch/starvation_test.go
+++ b/internal/dispatch/starvation_test.go
@@ -297,6 +297,29 @@
 	c.mustStart(time.Minute)
 }
 
+// Guards against a gang that waits for one rack without limit because the adviser was asked for no more workers than it needs.
+func TestGangWithTicketsLeavesItsRack(t *testing.T) {
+	s := newPool(t, 3, 20)
+	p := testPolicy()
+	p.Version = 2
+	p.Queues[1].Advice = &batch.AdvicePolicy{PerRequest: 10 * time.Millisecond, PerWorker: 10 * time.Millisecond}
+	s.leaders[0].core.SetPolicy(p.Index())
+	for rack := range 3 {
+		s.submit(smallTasksNearData(fmt.Sprintf("small-%d", rack), 12, rack))
+	}
+	s.run(2 * testStep)
+	s.fleet.setRunTime("small", 10*time.Minute)
+	gang := simpleJob("gang", "normal", 1, 10, wideNeed)
+	gang.Steps[0].Gang, gang.Steps[0].SameRack = true, true
+	c := &waitCheck{system: s, job: "gang", allowed: map[string]bool{}}
+	for _, id := range s.fleet.ids() {
+		c.allowed[id] = true
+	}
+	c.each = append(c.each, c.advise)
+	s.submit(gang)
+	c.mustStart(time.Minute)
+}
+
 // adviceValid is the validity of the tickets of the test's adviser.
 const adviceValid = 10 * time.Second
 
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -32,7 +32,7 @@
 func (p *planner) fitByRack(r *Request, count int, capacityOf capacityFunc) []int {
 	if r.Step.DataRack != "" {
 		got := p.assign(r, p.racks[r.Step.DataRack], count, capacityOf)
-		if len(got) == count || p.restrictedToDataRack(r) {
+		if len(got) == count || p.restrictedToDataRack(r) || len(got) > 0 && !r.Gang && !r.MaySpanRacks {
 			return got
 		}
 	}
@@ -48,18 +48,18 @@
 	return nil
 }
 
-// preferencesExpired reports whether the request has waited so long beside ample capacity that it should start anywhere. While capacity is scarce, or
-// another task of the job runs, waiting for the preferred workers saves capacity.
+// preferencesExpired reports whether the request has waited so long that it should start anywhere. While capacity is scarce, or another task of the job
+// runs, waiting for the preferred workers saves capacity; a long-running task should run at all times, however scarce capacity is, and doesn't wait again
+// after an interruption.
 func (p *planner) preferencesExpired(r *Request) bool {
+	if r.Step.LongRunning {
+		return r.Interrupted || r.WaitTime > localityWaitLimit
+	}
 	return r.JobIdle && p.ample && min(r.WaitTime, p.ampleFor) > localityWaitLimit
 }
 
-// mayLeaveRack reports whether the request may run outside the single rack or the data's rack that its step prefers, where it runs slower. A
-// long-running task should run at all times, however scarce capacity is.
-func (p *planner) mayLeaveRack(r *Request) bool {
-	return r.MaySpanRacks || r.Step.LongRunning && r.WaitTime > localityWaitLimit ||
-		p.preferencesExpired(r) && p.fitsFreeWorkers(r, spareRoomFactor*r.minTasks())
-}
+// mayLeaveRack reports whether the request may run outside the single rack or the data's rack that its step prefers, where it runs slower.
+func (p *planner) mayLeaveRack(r *Request) bool { return r.MaySpanRacks || p.preferencesExpired(r) }
 
 // fitsFreeWorkers reports whether count tasks fit on the free capacity of all workers.
 func (p *planner) fitsFreeWorkers(r *Request, count int) bool {
@@ -85,7 +85,7 @@
 	if len(r.AvoidedWorkers) == 0 {
 		return false
 	}
-	return !p.fitsIfEmpty(r, p.allWorkers, r.minTasks()) || p.preferencesExpired(r) && !p.fitsFreeWorkers(r, spareRoomFactor*r.minTasks())
+	return !p.fitsIfEmpty(r, p.allWorkers, r.minTasks()) || p.preferencesExpired(r) && !p.fitsFreeWorkers(r, r.minTasks())
 }
 
 // minTasks returns how many tasks of the request have to start at the same time.
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -23,9 +23,6 @@
 	ampleFreeShare = 0.4
 	// localityWaitLimit is how long a request waits for the workers that it prefers while capacity is ample. The users expect it to start within 3 s then.
 	localityWaitLimit = 2 * time.Second
-	// spareRoomFactor is how many times over the tasks that have to start together fit on free workers before they may leave the racks that they prefer:
-	// they hold the capacity longer there.
-	spareRoomFactor = 2
 	// victimCost is added to the lost work of each preempted run, in core-seconds, so that few victims are preferred to many.
 	victimCost = 20
 )
@@ -83,6 +80,7 @@
 	MayPreempt       bool         // may stop less urgent runs
 	PreemptionBudget float64      // most work that may be lost by preempting runs for it, core-seconds
 	BestEffort       bool         // loses little when it is stopped, so it may use the headroom
+	Interrupted      bool         // has run before
 	JobIdle          bool         // no task of its job runs or is about to start
 	WaitTime         time.Duration
 }
