--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -339,8 +339,8 @@
 		in.workerIndex[w.ID] = len(in.workers)
 		in.workers = append(in.workers, w)
 		in.Workers = append(in.Workers, placement.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: free,
-			FutureFree: free.Plus(ending), EventuallyFree: w.Capacity.Minus(lasting), Usable: c.usable(w, now), Suspected: c.staysInService(w) && !w.health.trusted(now), HealthPenalty: w.health.suspicion,
-			LatencySensitive: latencySensitive, BestEffort: bestEffort})
+			FutureFree: free.Plus(ending), EventuallyFree: w.Capacity.Minus(lasting), Usable: c.usable(w, now),
+			Suspected: c.staysInService(w) && !w.health.trusted(now), HealthPenalty: w.health.suspicion, LatencySensitive: latencySensitive, BestEffort: bestEffort})
 	}
 }
 
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -17,9 +17,9 @@
 	headroomWaitLimit = 2 * time.Second
 	// maxReservations is the largest number of gangs per cycle for which workers are reserved. It bounds the workers that stay idle for waiting gangs.
 	maxReservations = 2
-	// ampleFreeShare is the free share of the scarcest resource from which requests may leave the racks that they prefer, and below which workers are
-	// reserved instead. With more free capacity a reservation only keeps other requests waiting: the users expect every task to run while half of the
-	// capacity is free. The difference between the half and this value allows for capacity that becomes free between two cycles.
+	// ampleFreeShare is the free share of the scarcest resource from which capacity is ample: requests that have waited then start on any worker. Below
+	// it, workers are reserved for gangs instead. With more free capacity a reservation only keeps other requests waiting: the users expect every task
+	// to run while half of the capacity is free. The difference between the half and this value allows for capacity that becomes free between two cycles.
 	ampleFreeShare = 0.4
 	// localityWaitLimit is how long a request waits for the workers that it prefers while capacity is ample. The users expect it to start within 3 s then.
 	localityWaitLimit = 2 * time.Second
