Take the figures of a logged wait before the planner changes them

Found in review: the planner may drop the workers that a request avoids and counts the tasks per worker on, so fit_fleet, fit_rack and avoided_workers of "still waiting for room", computed after it, weren't those before the cycle. They are taken before it now, which also makes the copy of the workers unnecessary. Decisions are unchanged.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -210,10 +210,7 @@
 	in.Headroom = c.urgentDemand.headroom(usage)
 	in.AmpleFor = c.ampleFor(service, in.Workers, now)
 	due := dueWaitLogs(in, now)
-	var before []placement.Worker
-	if len(due) > 0 {
-		before = slices.Clone(in.Workers) // the planner deducts what it allocates and reserves
-	}
+	freePercent := int(100 * placement.FreeShare(in.Workers))
 	d := c.planner(in.Input)
 	for i, run := range d.Preempted {
 		c.preempt(in.runGroups[run], now, preemptorOf(in, d, i))
@@ -221,7 +218,7 @@
 	for _, p := range d.Placements {
 		c.applyPlacement(in, p, now)
 	}
-	c.logWaiting(in, d, due, before, now)
+	c.logWaiting(in, d, due, freePercent, now)
 }
 
 // preemptorOf returns the id of the job for which a decision preempts a run. It is empty if the planner doesn't report it, as baseline policies
@@ -245,40 +242,48 @@
 	return now - c.ampleSince[service]
 }
 
-// dueWaitLogs returns the requests whose wait is logged in this cycle if they aren't placed, at most once in waitLogInterval for each.
-func dueWaitLogs(in *planInput, now time.Duration) []int {
-	var due []int
-	for i, r := range in.Requests {
+// waitLog is a request whose wait is logged if the cycle doesn't place it. The planner changes what the other fields are counted from.
+type waitLog struct {
+	request int            // index into the requests of the cycle
+	room    placement.Room // before the cycle
+	avoided int            // workers that it avoids before the cycle
+}
+
+// dueWaitLogs returns the requests that have waited for long and whose wait wasn't logged within waitLogInterval.
+func dueWaitLogs(in *planInput, now time.Duration) []waitLog {
+	var due []waitLog
+	for i := range in.Requests {
+		r := &in.Requests[i]
 		if r.WaitTime >= waitLogInterval && now-in.requestGroups[i][0].waitLoggedAt >= waitLogInterval {
-			due = append(due, i)
+			due = append(due, waitLog{i, placement.RoomFor(r, in.Workers), len(r.AvoidedWorkers)})
 		}
 	}
 	return due
 }
 
 // logWaiting logs the due requests that still wait, the capacity before the cycle and what earlier requests left of it.
-func (c *Core) logWaiting(in *planInput, d placement.Decision, due []int, before []placement.Worker, now time.Duration) {
+func (c *Core) logWaiting(in *planInput, d placement.Decision, due []waitLog, freePercent int, now time.Duration) {
 	if len(due) == 0 {
 		return
 	}
-	capacity := freeCapacityFields(in, before)
-	for _, i := range due {
-		r, g := &in.Requests[i], in.requestGroups[i][0]
+	capacity := freeCapacityFields(in, freePercent)
+	for _, l := range due {
+		r, g := &in.Requests[l.request], in.requestGroups[l.request][0]
 		if !g.ready() {
 			continue
 		}
 		g.waitLoggedAt = now
-		atFirst, left := placement.RoomFor(r, before), placement.RoomFor(r, in.Workers)
+		left := placement.RoomFor(r, in.Workers)
 		c.logTask(g.tasks[0]).WithFields(capacity).WithFields(logrus.Fields{"waited_ms": r.WaitTime.Milliseconds(), "tasks": r.Count, "gang": r.Gang,
 			"same_rack": r.Step.SameRack, "data_rack": r.Step.DataRack, "accelerators_each": r.Step.Need.Accelerators,
-			"within_guarantee": r.WithinGuarantee, "fit_fleet": atFirst.Fleet, "fit_rack": atFirst.Rack, "left_fleet": left.Fleet,
-			"left_rack": left.Rack, "reserved": slices.Contains(d.Reserved, i), "avoided_workers": len(r.AvoidedWorkers), "ahead": i,
+			"within_guarantee": r.WithinGuarantee, "fit_fleet": l.room.Fleet, "fit_rack": l.room.Rack, "left_fleet": left.Fleet,
+			"left_rack": left.Rack, "reserved": slices.Contains(d.Reserved, l.request), "avoided_workers": l.avoided, "ahead": l.request,
 			"priority": r.Priority, "standing": c.objectiveStatus(g.job, now).String(), "preemptions": g.preemptions}).Info("still waiting for room")
 	}
 }
 
-// freeCapacityFields describes the free capacity of a cycle for log lines.
-func freeCapacityFields(in *planInput, before []placement.Worker) logrus.Fields {
+// freeCapacityFields describes the free capacity of a cycle for log lines. freePercent is the free share before the cycle.
+func freeCapacityFields(in *planInput, freePercent int) logrus.Fields {
 	free, usable := 0, 0
 	for _, w := range in.Workers {
 		if w.Usable {
@@ -286,8 +291,7 @@
 			free += max(0, w.Free.Accelerators)
 		}
 	}
-	return logrus.Fields{"usable_workers": usable, "free_accelerators": free, "free_percent": int(100 * placement.FreeShare(before)),
-		"kept_cores": int(in.Headroom)}
+	return logrus.Fields{"usable_workers": usable, "free_accelerators": free, "free_percent": freePercent, "kept_cores": int(in.Headroom)}
 }
 
 // usableCapacity returns the capacity of the workers that may get new work, in core equivalents.
