--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -17,8 +17,6 @@
 	spanRacksAfter = 1200 * time.Millisecond
 	// drainReserve is how long before the end of a draining worker its last runs are stopped.
 	drainReserve = 300 * time.Millisecond
-	// waitLogInterval is the shortest time between two log lines about a waiting task group; it bounds the log volume while many wait.
-	waitLogInterval = 2 * time.Second
 	// replanInterval is the period of scheduling cycles while tasks wait: waits and quarantines end without an event that would start one.
 	replanInterval = 250 * time.Millisecond
 )
@@ -242,58 +240,6 @@
 	return now - c.ampleSince[service]
 }
 
-// waitLog is a request whose wait is logged if the cycle doesn't place it. The planner changes what the other fields are counted from.
-type waitLog struct {
-	request int            // index into the requests of the cycle
-	room    placement.Room // before the cycle
-	avoided int            // workers that it avoids before the cycle
-}
-
-// dueWaitLogs returns the requests that have waited for long and whose wait wasn't logged within waitLogInterval.
-func dueWaitLogs(in *planInput, now time.Duration) []waitLog {
-	var due []waitLog
-	for i := range in.Requests {
-		r := &in.Requests[i]
-		if r.WaitTime >= waitLogInterval && now-in.requestGroups[i][0].waitLoggedAt >= waitLogInterval {
-			due = append(due, waitLog{i, placement.RoomFor(r, in.Workers), len(r.AvoidedWorkers)})
-		}
-	}
-	return due
-}
-
-// logWaiting logs the due requests that still wait, the capacity before the cycle and what earlier requests left of it.
-func (c *Core) logWaiting(in *planInput, d placement.Decision, due []waitLog, freePercent int, now time.Duration) {
-	if len(due) == 0 {
-		return
-	}
-	capacity := freeCapacityFields(in, freePercent)
-	for _, l := range due {
-		r, g := &in.Requests[l.request], in.requestGroups[l.request][0]
-		if !g.ready() {
-			continue
-		}
-		g.waitLoggedAt = now
-		left := placement.RoomFor(r, in.Workers)
-		c.logTask(g.tasks[0]).WithFields(capacity).WithFields(logrus.Fields{"waited_ms": r.WaitTime.Milliseconds(), "tasks": r.Count, "gang": r.Gang,
-			"same_rack": r.Step.SameRack, "data_rack": r.Step.DataRack, "accelerators_each": r.Step.Need.Accelerators,
-			"within_guarantee": r.WithinGuarantee, "fit_fleet": l.room.Fleet, "fit_rack": l.room.Rack, "left_fleet": left.Fleet,
-			"left_rack": left.Rack, "reserved": slices.Contains(d.Reserved, l.request), "avoided_workers": l.avoided, "ahead": l.request,
-			"priority": r.Priority, "standing": c.objectiveStatus(g.job, now).String(), "preemptions": g.preemptions}).Info("still waiting for room")
-	}
-}
-
-// freeCapacityFields describes the free capacity of a cycle for log lines. freePercent is the free share before the cycle.
-func freeCapacityFields(in *planInput, freePercent int) logrus.Fields {
-	free, usable := 0, 0
-	for _, w := range in.Workers {
-		if w.Usable {
-			usable++
-			free += max(0, w.Free.Accelerators)
-		}
-	}
-	return logrus.Fields{"usable_workers": usable, "free_accelerators": free, "free_percent": freePercent, "kept_cores": int(in.Headroom)}
-}
-
 // usableCapacity returns the capacity of the workers that may get new work, in core equivalents.
 func usableCapacity(workers []placement.Worker) float64 {
 	sum := 0.0
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -151,17 +151,23 @@
 	return b.Store.Changes(ctx, table, after, wait)
 }
 
-// Guards against a host that answers no query for seconds because its calls wait for silent hosts, although the table serves it again.
-func TestDirectCallHasTimeAfterASilentRelay(t *testing.T) {
+// newStoreWithSilentHosts returns a store whose table refuses calls while refuse is true, and whose other hosts don't respond.
+func newStoreWithSilentHosts() (s *Store, refuse *bool) {
+	refuse = new(bool)
+	*refuse = true
 	direct := memstore.New()
-	refuse := true
 	direct.SetFault(func(string) memstore.Fault {
-		if refuse {
+		if *refuse {
 			return memstore.Refuse
 		}
 		return memstore.None
 	})
-	s := New(boundedStore{direct}, silentPeer{}, func() []string { return []string{"a", "b", "c", "d", "e"} })
+	return New(boundedStore{direct}, silentPeer{}, func() []string { return []string{"a", "b", "c", "d", "e"} }), refuse
+}
+
+// Guards against a host that answers no query for seconds because its calls wait for silent hosts, although the table serves it again.
+func TestDirectCallHasTimeAfterASilentRelay(t *testing.T) {
+	s, refuse := newStoreWithSilentHosts()
 	scan := func() error {
 		ctx, cancel := context.WithTimeout(context.Background(), 800*time.Millisecond)
 		defer cancel()
@@ -169,21 +175,13 @@
 		return err
 	}
 	must.Error(t, scan())
-	refuse = false
+	*refuse = false
 	must.NoError(t, scan())
 }
 
 // Guards against a feed that is read through silent hosts only, because each read that they use up counts as a failure of the table.
 func TestFeedIsReadDirectlyAfterASilentRelay(t *testing.T) {
-	direct := memstore.New()
-	refuse := true
-	direct.SetFault(func(string) memstore.Fault {
-		if refuse {
-			return memstore.Refuse
-		}
-		return memstore.None
-	})
-	s := New(boundedStore{direct}, silentPeer{}, func() []string { return []string{"a", "b", "c", "d", "e"} })
+	s, refuse := newStoreWithSilentHosts()
 	now := time.Unix(100, 0)
 	s.now = func() time.Time { return now }
 	read := func() error {
@@ -193,7 +191,7 @@
 		return err
 	}
 	must.Error(t, read())
-	refuse = false
+	*refuse = false
 	now = now.Add(relayFirstPeriod / 2)
 	must.Error(t, read(), must.Sprint("relayed first, to a silent host"))
 	now = now.Add(relayFirstPeriod / 2)
