Test that an interrupted long-running task starts at once

A deterministic case of what the property test found by chance (after failures, with the rack of its data): it fails without Request.Interrupted.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -199,6 +199,18 @@
 	must.Eq(t, []Placement{{0, []int{7}}}, Plan(in).Placements)
 }
 
+// Guards against a long-running task that waits for the rack of its data again each time it is interrupted.
+func TestInterruptedLongRunningTaskStartsAtOnce(t *testing.T) {
+	in := Input{Workers: fleet(2, 1)}
+	occupy(&in, Run{Priority: 2}, 0, eightAccelerators)
+	in.Requests = []Request{{Step: &batch.Step{Need: oneAccelerator, LongRunning: true, DataRack: "r0"}, Count: 1, Priority: 1, Interrupted: true}}
+	must.Eq(t, []Placement{{0, []int{1}}}, Plan(in).Placements)
+	in.Requests[0].Interrupted = false
+	in.Workers = fleet(2, 1)
+	occupy(&in, Run{Priority: 2}, 0, eightAccelerators)
+	must.SliceEmpty(t, Plan(in).Placements)
+}
+
 // Guards against tasks that run away from their data although some of them fit on its rack.
 func TestTasksFillTheRackOfTheirDataFirst(t *testing.T) {
 	for _, longRunning := range []bool{false, true} {
