Acknowledge ends only to the incarnation that reported them

A worker restarts while nothing runs on it, carries out a start and ends the run before its first report. The leader's next renewal acknowledged all ends up to the number that the earlier incarnation had reached, and the new one, which counts from 1, forgot an end that it had never reported. A task that was done ran again. No caller is known to have seen this.

A renewal now carries an acknowledgement only until a report no longer lists the end, and only while the worker responds, so that the renewal that meets a new incarnation acknowledges nothing.

TestEndsOfANewIncarnationAreReportedBeforeTheyAreAcknowledged failed before with an acknowledged end that was never reported and a start after it.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -158,9 +158,11 @@
 	leaseEnd       time.Duration // on the worker's clock; no run outlasts it
 	leasesExpireAt time.Duration // on the leader's clock, for a worker that never responded under the current epoch
 
-	appliedEnd  uint64 // number of the newest end that was applied
-	ackedEnd    uint64 // number of the newest end that may be acknowledged: the effects of all ends up to it are stored
-	unackedEnds []uint64
+	appliedEnd uint64 // number of the newest end that was applied
+	ackedEnd   uint64 // number of the newest end that may be acknowledged: the effects of all ends up to it are stored
+	// forgottenEnd is the number of the newest end that the worker has forgotten after its acknowledgement.
+	forgottenEnd uint64
+	unackedEnds  []uint64
 
 	renewalDue bool // a renewal that returns immediately is due
 	health     health
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -45,7 +45,7 @@
 type Renewal struct {
 	Worker    batch.Worker
 	Epoch     uint64
-	AckedEnds uint64        // ends up to this number (EndReport.N) are stored, and the worker may forget them
+	AckedEnds uint64        // ends up to this number (EndReport.N) are stored, and the worker may forget them; 0 acknowledges nothing
 	LeaseEnd  time.Duration // new end of the lease on the worker's clock; 0 renews nothing
 	Wait      time.Duration // how long the worker may wait for the end of a run before it responds
 }
--- a/internal/dispatch/renewals.go
+++ b/internal/dispatch/renewals.go
@@ -17,7 +17,11 @@
 	if !busy && !w.renewalDue && w.contacted {
 		return Renewal{}, false
 	}
-	renewal := Renewal{Worker: w.Worker, Epoch: c.epoch, AckedEnds: w.ackedEnd}
+	renewal := Renewal{Worker: w.Worker, Epoch: c.epoch}
+	if w.ackedEnd > w.forgottenEnd && !w.unresponsive {
+		// The worker may have restarted since its last response. Its new incarnation would forget ends under the same numbers that were never reported.
+		renewal.AckedEnds = w.ackedEnd
+	}
 	if busy && w.contacted && len(w.unackedEnds) == 0 && !w.renewalDue && !w.unresponsive {
 		// With unacknowledged ends the worker would respond immediately.
 		renewal.Wait = renewalWait
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -135,6 +135,9 @@
 		w.leaseEnd = max(w.leaseEnd, r.Clock+c.bounds.LeaseMax)
 	}
 	listed := map[runKey]bool{}
+	if !slices.ContainsFunc(r.Ended, func(e EndReport) bool { return e.N <= w.ackedEnd }) {
+		w.forgottenEnd = w.ackedEnd
+	}
 	for _, e := range r.Ended {
 		listed[runKey{e.Task, e.Run}] = true
 		c.applyEnd(w, e, received)
@@ -290,7 +293,7 @@
 // the new incarnation may run any other: it may have carried out an order that was in flight. Its own report decides on those.
 func (c *Core) handleRestart(w *worker, incarnation int64, now time.Duration) {
 	c.log.WithFields(logrus.Fields{"worker": w.ID, "boot": incarnation, "old_boot": w.Incarnation}).Warn("worker restarted")
-	w.appliedEnd, w.ackedEnd, w.unackedEnds = 0, 0, nil
+	w.appliedEnd, w.ackedEnd, w.forgottenEnd, w.unackedEnds = 0, 0, 0, nil
 	w.contacted, w.leaseEnd, w.lastClock = false, 0, 0
 	w.leasesExpireAt = now + c.longestLease()
 	w.health = health{}
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -35,3 +35,29 @@
 		})
 	}
 }
+
+// Guards against results that are lost: the first renewal after a restart acknowledged ends of the new incarnation by the numbers of earlier ones, so
+// that the worker forgot them before it had reported them, and the tasks ran again.
+func TestEndsOfANewIncarnationAreReportedBeforeTheyAreAcknowledged(t *testing.T) {
+	s := newSystem(t, 1, 1, 1)
+	s.fleet.noFaults = false
+	s.submit(simpleJob("before", "normal", 1, 3, smallNeed))
+	s.run(6 * time.Second)
+	must.Eq(t, batch.Completed, s.state("before"))
+	w := s.fleet.workers["w0-0"]
+	s.submit(simpleJob("after", "normal", 1, 1, smallNeed))
+	c := s.leaders[0].core
+	c.Plan(s.fleet.now)
+	s.commit(s.leaders[0])
+	orders := c.TakeOrders()
+	must.Len(t, 1, orders)
+	s.fleet.crash(w.ID)
+	w.listedFrom = s.fleet.now + time.Minute
+	c.OnStart(orders[0], s.fleet.order(orders[0]), s.fleet.now)
+	w.running["after.0.0.0"].left = testStep
+	s.fleet.advance(2 * testStep)
+	must.SliceNotEmpty(t, w.endReports)
+	s.run(5 * time.Second)
+	s.mustHaveNoViolations()
+	must.Eq(t, batch.Completed, s.state("after"))
+}
