Treat a refusal after a lost copy of a start as no result

What callers saw: two runs of a task at the same time, or a start of a task whose end was already acknowledged, while orders were carried out late and workers refused starts (429, 503).

Cause: the adapter sent an order up to three times and returned the result of the last attempt. An earlier copy that got no response may still be carried out seconds later, but a refusal of a later copy (unhealthy, no room, no ticket, invalid, too late, other incarnation) counted as "nothing was done", so that the task started elsewhere at once. The late copy then started the earlier run.

The repetition and the rule on what a response tells about earlier copies are in internal/dispatch (Deliver), which the runner, the simulation and the tests share. After a copy without a response only accepted, superseded and deposed are conclusive, because each of them also decides what becomes of the lost copy: the run is present, it or a newer one is over, or the epoch has passed. All other responses give unknown: the run is stopped on that worker, and the task starts elsewhere once that is confirmed or the lease has ended. A stop keeps the result of its last copy: it is idempotent, and a late copy stops no later run.

The log line "start not confirmed" has the new fields response and unanswered_copies, so that this case can be told from a plain refusal. orders_total counts the final result.

The fake fleet draws the fate of each copy separately, and its workers may refuse a share of orders. A share of lost responses and one of delayed copies are added to those that the property test draws, because an order is unknown only if all three copies are lost.

--- a/internal/bench/fleetmodel/play.go
+++ b/internal/bench/fleetmodel/play.go
@@ -162,10 +162,10 @@
 		c.OnStored(cm, f.now)
 	}
 	for _, o := range c.TakeOrders() {
-		if r := f.execute(o); o.Stop {
-			c.OnStop(o, r, f.now)
+		if d := dispatch.Deliver(o, f.execute); o.Stop {
+			c.OnStop(o, d.Result, f.now)
 		} else {
-			c.OnStart(o, r, f.now)
+			c.OnStart(o, d, f.now)
 		}
 	}
 	c.TakePollWakeups()
--- /dev/null
+++ b/internal/dispatch/delivery_test.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"samphirewell/internal/batch"
+)
+
+// responses returns an attempt that gets the responses in turn, and the number of calls so far.
+func responses(rs ...Result) (func(Order) Result, *int) {
+	calls := 0
+	return func(Order) Result { calls++; return rs[calls-1] }, &calls
+}
+
+// Guards against a refusal of a later copy that counts as the refusal of all copies: an earlier copy without a response may still be carried out.
+func TestRefusalAfterALostCopyOfAStartIsNoResult(t *testing.T) {
+	conclusive := map[Result]bool{Accepted: true, Deposed: true, Superseded: true}
+	for r := Accepted; r <= Unknown; r++ {
+		for lost := range orderAttempts {
+			want := r
+			if lost > 0 && !conclusive[r] {
+				want = Unknown
+			}
+			attempt, _ := responses(append([]Result{Unknown, Unknown, Unknown}[:lost:lost], r, Unknown, Unknown)...)
+			must.Eq(t, want, Deliver(Order{}, attempt).Result, must.Sprintf("%v after %d copies without a response", r, lost))
+		}
+	}
+}
+
+// Guards against stops that are never confirmed: a copy of a stop that is carried out late stops no later run, so that each response is the result.
+func TestResponseToAStopIsItsResult(t *testing.T) {
+	for r := Accepted; r < Unknown; r++ {
+		for lost := range orderAttempts {
+			attempt, _ := responses(append([]Result{Unknown, Unknown}[:lost:lost], r)...)
+			must.Eq(t, Delivery{Result: r, Response: r, UnansweredCopies: lost}, Deliver(Order{Stop: true}, attempt), must.Sprintf("%v after %d lost copies", r, lost))
+		}
+	}
+}
+
+// Guards against copies that are sent after a response, and against orders that are repeated without end.
+func TestOrderIsRepeatedOnlyWithoutAResponse(t *testing.T) {
+	attempt, calls := responses(Unknown, Unhealthy)
+	d := Deliver(Order{}, attempt)
+	must.Eq(t, 2, *calls)
+	must.Eq(t, Unhealthy, d.Response)
+	must.Eq(t, 1, d.UnansweredCopies)
+	attempt, calls = responses(Unknown, Unknown, Unknown)
+	must.Eq(t, Delivery{Result: Unknown, Response: Unknown, UnansweredCopies: 3}, Deliver(Order{}, attempt))
+	must.Eq(t, 3, *calls)
+}
+
+// Guards against two runs of a task at the same time: a copy of a start got no response and was carried out seconds later, the next one was refused by
+// the unhealthy worker, and the task started elsewhere at once.
+func TestTaskDoesNotRunTwiceIfALostCopyOfItsStartIsCarriedOutLate(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newSystem(t, seed, 2, 3)
+			s.fleet.noFaults = false
+			s.fleet.delayShare = 0.3
+			for _, w := range s.fleet.workers {
+				w.refuseShare = 0.6
+			}
+			for n := range 8 {
+				s.submit(simpleJob(fmt.Sprintf("j%d", n), "normal", 1, 4, smallNeed))
+			}
+			s.run(20 * time.Second)
+			clearFaults(s)
+			s.run(30 * time.Second)
+			s.mustHaveNoViolations()
+			for _, j := range s.jobs {
+				must.Eq(t, batch.Completed, s.state(j.ID), must.Sprint(j.ID))
+			}
+		})
+	}
+}
+
+// lossyWorkers is a WorkerAPI whose orders get the responses in turn.
+type lossyWorkers struct {
+	WorkerAPI
+	attempt func(Order) Result
+}
+
+func (w lossyWorkers) Order(_ context.Context, o Order) Result { return w.attempt(o) }
+
+// orderedStart returns a runner with one ordered start, and its log.
+func orderedStart(t *testing.T, rs ...Result) (*Runner, Order, *logtest.Hook) {
+	log, hook := logtest.NewNullLogger()
+	core := New(1, testPolicy(), testBounds, log)
+	attempt, _ := responses(rs...)
+	r := NewRunner(core, nil, lossyWorkers{attempt: attempt}, realClock{time.Now()}, noMetrics{}, log)
+	w := batch.Worker{ID: "w", Service: "svc", Address: "a:1", Incarnation: 1, Capacity: batch.Resources{MilliCores: 8000, MemoryMB: 8000, Accelerators: 8}}
+	r.Do(func(c *Core, now time.Duration) {
+		c.SetWorkers([]batch.Worker{w}, now)
+		c.OnReport("w", WorkerReport{Incarnation: 1, Clock: time.Second}, now, now)
+		c.AddJob(simpleJob("j", "normal", 1, 1, smallNeed), now)
+		c.Plan(now)
+		c.OnStored(c.TakeCommit(), now)
+	})
+	orders := core.TakeOrders()
+	must.SliceLen(t, 1, orders)
+	return r, orders[0], hook
+}
+
+// Guards against a runner that takes the response to the last copy of a start for its result: the run must be stopped before the task starts again.
+func TestRunnerStopsARunWhoseStartIsUncertain(t *testing.T) {
+	r, o, _ := orderedStart(t, Unknown, Unhealthy)
+	r.send(context.Background(), o)
+	orders := r.core.TakeOrders()
+	must.SliceLen(t, 1, orders)
+	must.True(t, orders[0].Stop)
+	must.Eq(t, 1, orders[0].Run)
+}
+
+// Guards against a log that doesn't tell a refused start from one of which an earlier copy may still be carried out.
+func TestLogTellsOfLostCopiesOfAStart(t *testing.T) {
+	for _, c := range []struct {
+		responses        []Result
+		result, response string
+		lost             int
+	}{
+		{[]Result{Unhealthy}, "unhealthy", "unhealthy", 0},
+		{[]Result{Unknown, InsufficientCapacity}, "unknown", "no_room", 1},
+		{[]Result{Unknown, Unknown, Unknown}, "unknown", "unknown", 3},
+	} {
+		r, o, hook := orderedStart(t, c.responses...)
+		hook.Reset()
+		r.send(context.Background(), o)
+		line := hook.Entries[0]
+		must.Eq(t, "start not confirmed", line.Message)
+		for field, want := range (logrus.Fields{"result": c.result, "response": c.response, "unanswered_copies": c.lost}) {
+			must.Eq(t, want, line.Data[field], must.Sprintf("%s after %v", field, c.responses))
+		}
+	}
+}
--- a/internal/dispatch/faults_test.go
+++ b/internal/dispatch/faults_test.go
@@ -37,7 +37,7 @@
 	ids := s.fleet.ids()
 	id := rapid.SampledFrom(ids).Draw(t, "worker")
 	w := s.fleet.workers[id]
-	switch rapid.IntRange(0, 13).Draw(t, "action") {
+	switch rapid.IntRange(0, 14).Draw(t, "action") {
 	case 0, 1, 2, 3:
 		*jobs++
 		s.submit(drawJob(t, fmt.Sprintf("j%d", *jobs)))
@@ -48,9 +48,9 @@
 	case 6:
 		w.failsRuns = !w.failsRuns
 	case 7:
-		s.fleet.responseLossShare = rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "loss")
+		s.fleet.responseLossShare = rapid.SampledFrom([]float64{0, 0.1, 0.4, 0.7}).Draw(t, "loss")
 	case 8:
-		s.fleet.delayShare = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "delayed")
+		s.fleet.delayShare = rapid.SampledFrom([]float64{0, 0.05, 0.3, 0.7}).Draw(t, "delayed")
 	case 9:
 		s.elect()
 	case 10:
@@ -76,6 +76,8 @@
 		})
 	case 13:
 		s.store.ApplyDelayed()
+	case 14:
+		w.refuseShare = rapid.SampledFrom([]float64{0, 0.3, 0.9}).Draw(t, "refused")
 	}
 }
 
@@ -84,7 +86,7 @@
 	s.store.SetFault(nil)
 	s.fleet.responseLossShare, s.fleet.delayShare = 0, 0
 	for _, w := range s.fleet.workers {
-		w.unreachable, w.failsRuns = false, false
+		w.unreachable, w.failsRuns, w.refuseShare = false, false, 0
 	}
 	for _, l := range s.leaders {
 		l.frozen = false
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -27,9 +27,10 @@
 	highestEndedRun map[string]int // highest run that was stopped or has ended, by task
 	endReports      []EndReport
 	endCount        uint64
-	reportedEnd     uint64 // number of the newest end that was in a response
-	failsRuns       bool   // all runs that it starts fail
-	hangs           bool   // its runs make no progress
+	reportedEnd     uint64  // number of the newest end that was in a response
+	failsRuns       bool    // all runs that it starts fail
+	refuseShare     float64 // share of orders that it refuses as unhealthy
+	hangs           bool    // its runs make no progress
 }
 
 type fakeRun struct {
@@ -42,7 +43,7 @@
 	stopsAt      time.Duration // end of a stop that is in progress, or 0
 }
 
-// delayedOrder is an order that got no response and is carried out later by the incarnation that received it.
+// delayedOrder is a copy of an order that got no response and is carried out later by the incarnation that received it.
 type delayedOrder struct {
 	at          time.Duration
 	order       Order
@@ -58,7 +59,7 @@
 	failingJobs       map[string]bool
 	delayedOrders     []delayedOrder
 	responseLossShare float64 // share of responses to orders and renewals that are lost
-	delayShare        float64 // share of orders that are carried out late and get no response
+	delayShare        float64 // share of copies of orders that are carried out late and get no response
 	slowStops         bool    // stops take up to testBounds.StopMax; otherwise they are immediate
 
 	everDone               map[string]bool          // tasks or gangs that have ended as done, whether or not the worker still lists that
@@ -67,7 +68,7 @@
 	cancelled              map[string]bool
 	noFaults               bool // no fault is injected, so that all members of each gang must start
 	violations             []string
-	startsToLostWorkers    int                      // starts that were sent to workers that are down
+	startsToLostWorkers    int                      // copies of starts that were sent to workers that are down
 	lostAcceleratorSeconds float64                  // accelerator-seconds of runs that were stopped
 	firstStart             map[string]time.Duration // time of the first start of each job
 }
@@ -111,7 +112,7 @@
 
 func (w *fakeWorker) clock() time.Duration { return w.fleet.now + w.clockOffset }
 
-// order carries out an order and returns the result that the sender receives.
+// order carries out one copy of an order and returns the result that the sender receives.
 func (f *fakeFleet) order(o Order) Result {
 	w := f.workers[o.Worker.ID]
 	if w != nil && !w.up && !o.Stop {
@@ -136,6 +137,9 @@
 	if !w.up {
 		return Unknown
 	}
+	if w.refuseShare > 0 && w.fleet.rng.Float64() < w.refuseShare {
+		return Unhealthy
+	}
 	if o.Epoch < w.fence {
 		return Deposed
 	}
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -20,8 +20,9 @@
 )
 
 // OnStart handles the result of a start.
-func (c *Core) OnStart(o Order, r Result, now time.Duration) {
+func (c *Core) OnStart(o Order, d Delivery, now time.Duration) {
 	c.now = now
+	r := d.Result
 	if r == Deposed {
 		c.depose("worker refused a start", o.Worker.ID)
 		return
@@ -37,7 +38,7 @@
 		w.leaseEnd = max(w.leaseEnd, w.minClock(now)+c.bounds.LeaseMax)
 	}
 	if r != Accepted {
-		c.logTask(t).WithField("result", r.String()).Info("start not confirmed")
+		c.logTask(t).WithFields(logrus.Fields{"result": r.String(), "response": d.Response.String(), "unanswered_copies": d.UnansweredCopies}).Info("start not confirmed")
 	}
 	switch r {
 	case Accepted:
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -53,7 +53,7 @@
 	must.Len(t, 1, orders)
 	s.fleet.crash(w.ID)
 	w.listedFrom = s.fleet.now + time.Minute
-	c.OnStart(orders[0], s.fleet.order(orders[0]), s.fleet.now)
+	c.OnStart(orders[0], Deliver(orders[0], s.fleet.order), s.fleet.now)
 	w.running["after.0.0.0"].left = testStep
 	s.fleet.advance(2 * testStep)
 	must.SliceNotEmpty(t, w.endReports)
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -32,6 +32,7 @@
 // WorkerAPI sends orders and renewals to workers and requests to the adviser. Implementations are safe for concurrent use and bound the time of each
 // call.
 type WorkerAPI interface {
+	// Order sends one copy of an order. Unknown means that it got no response.
 	Order(ctx context.Context, o Order) Result
 	// Advise requests tickets for the workers that may run a step.
 	Advise(ctx context.Context, req AdviceRequest) (Advice, error)
@@ -215,7 +216,7 @@
 	for _, o := range r.core.TakeOrders() {
 		if !r.hasAuthority(now) {
 			if !o.Stop { // an unconfirmed stop is repeated later
-				r.core.OnStart(o, TooLate, now)
+				r.core.OnStart(o, Delivery{Result: TooLate}, now)
 			}
 			continue
 		}
@@ -225,16 +226,16 @@
 
 func (r *Runner) send(ctx context.Context, o Order) {
 	sent := r.clock.SinceBoot()
-	result := r.workers.Order(ctx, o)
-	r.metrics.Ordered(o, result, r.clock.SinceBoot()-sent)
+	d := Deliver(o, func(o Order) Result { return r.workers.Order(ctx, o) })
+	r.metrics.Ordered(o, d.Result, r.clock.SinceBoot()-sent)
 	if ctx.Err() != nil {
 		return
 	}
 	r.Do(func(c *Core, now time.Duration) {
 		if o.Stop {
-			c.OnStop(o, result, now)
+			c.OnStop(o, d.Result, now)
 		} else {
-			c.OnStart(o, result, now)
+			c.OnStart(o, d, now)
 		}
 	})
 }
--- a/internal/dispatch/runner_test.go
+++ b/internal/dispatch/runner_test.go
@@ -43,7 +43,7 @@
 	r.Do(func(c *Core, now time.Duration) {
 		orders := c.TakeOrders()
 		must.SliceLen(t, 1, orders)
-		c.OnStart(orders[0], Accepted, now)
+		c.OnStart(orders[0], Delivery{Result: Accepted, Response: Accepted}, now)
 		c.OnReport("w", WorkerReport{Incarnation: 1, Clock: 2 * time.Second, Ended: []EndReport{{N: 1, Task: orders[0].Task, Run: 1, Kind: EndDone}}}, now, now)
 	})
 	return r
--- a/internal/dispatch/system_test.go
+++ b/internal/dispatch/system_test.go
@@ -135,12 +135,12 @@
 	for _, o := range l.core.TakeOrders() {
 		switch {
 		case !hasAuthority && !o.Stop:
-			l.core.OnStart(o, TooLate, now)
+			l.core.OnStart(o, Delivery{Result: TooLate}, now)
 		case !hasAuthority:
 		case o.Stop:
-			l.core.OnStop(o, s.fleet.order(o), now)
+			l.core.OnStop(o, Deliver(o, s.fleet.order).Result, now)
 		default:
-			l.core.OnStart(o, s.fleet.order(o), now)
+			l.core.OnStart(o, Deliver(o, s.fleet.order), now)
 		}
 	}
 	if hasAuthority {
