Don't place tasks by the entry of an earlier incarnation

When a worker restarts under the id that it had, its report may arrive before the registry's entry of the new incarnation. The entry of the earlier one stays in the list, longer while workers can't write to the store. setWorker took it over and kept the newer incarnation beside it, so that tasks were started on the new incarnation by the labels and the capacity of the earlier one. An incarnation may be of another kind, even at the same address: a task could start on a worker without the label that it requires, and a worker that doesn't reject overload could be overcommitted.

The core now records which incarnation the entry describes. A worker gets new work only if that is the current one. An entry that doesn't report an incarnation is used as before. The address of the entry is still used, so that renewals go on.

Evidence: TestEntryOfAnEarlierIncarnationIsNotUsedForPlacement failed before the change (one start, expected none, after the report of incarnation 2 while the registry listed incarnation 1) and passes with it.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -145,10 +145,11 @@
 
 // worker is the state of a worker.
 type worker struct {
-	batch.Worker
-	registered    bool
-	drainingSince time.Duration
-	allocs        map[runKey]*alloc
+	batch.Worker           // as its registry entry describes it, except for Incarnation, which is the newest known one
+	entryIncarnation int64 // incarnation that the registry entry describes; 0 if the entry doesn't report it
+	registered       bool
+	drainingSince    time.Duration
+	allocs           map[runKey]*alloc
 
 	contacted      bool          // it has responded under the current epoch
 	unresponsive   bool          // its last renewal got no response
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -301,7 +301,12 @@
 
 // staysInService reports whether a worker responds and isn't about to leave.
 func (c *Core) staysInService(w *worker) bool {
-	return w.registered && !w.Draining && !w.takenDown && !c.closedForMaintenance[w.ID] && w.contacted && !w.unresponsive
+	return w.registered && w.described() && !w.Draining && !w.takenDown && !c.closedForMaintenance[w.ID] && w.contacted && !w.unresponsive
+}
+
+// described reports whether the registry entry describes the current incarnation. Another incarnation may have other labels and another capacity.
+func (w *worker) described() bool {
+	return w.entryIncarnation == 0 || w.entryIncarnation == w.Incarnation
 }
 
 func (c *Core) addRuns(in *planInput, guaranteed map[*job]bool, now time.Duration) {
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -407,7 +407,7 @@
 		c.log.WithFields(logrus.Fields{"worker": w.ID, "remaining_ms": e.Remaining.Milliseconds(), "runs": len(w.allocs)}).Info("worker is draining")
 	}
 	incarnation := max(w.Incarnation, e.Incarnation)
-	w.Worker = e
+	w.Worker, w.entryIncarnation = e, e.Incarnation
 	w.Incarnation = incarnation
 	if !w.registered {
 		w.registered = true
