Don't take the refusal of a repeated machine order for all its copies

An order for maintenance that gets no response may have been carried out, and is repeated after a second. If the provider refused the repetition, because it accepted no more calls (429, 503) or because the machine wasn't up, the machine went back to waiting. If the first order had begun the maintenance and the list of machines couldn't be read in that second, the wave no longer counted the machine: it ordered the next one and exceeded its cap. The refusal speaks only for the copy that it answers.

After a repetition a refusal now changes nothing. The order is repeated until it is confirmed, or until a list that was requested after the time limit of the last order shows that the machine is neither up nor in maintenance; then no order is in flight and the machine waits again, so that a machine that is down doesn't occupy a place in the wave.

Evidence: TestRefusedRepeatDoesNotRevokeAMachineOrder failed before the change (2 machines in maintenance with a cap of 1, list not readable for 1 s) and passes with it, as do the other tests of waves. TestMachineThatFailsBeforeItsMaintenanceDoesNotBlockTheWave passes with and without the change; it guards against repeating the order for as long as the machine is down.

--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -79,6 +79,7 @@
 	phases         map[string]maintenancePhase
 	orderedAt      map[string]time.Duration
 	confirmed      map[string]bool   // machines whose maintenance has begun, according to a response or the list of machines
+	repeated       map[string]bool   // machines whose order was repeated because it got no response; it may have begun the maintenance
 	orderedWorkers map[string]string // worker on each machine when its maintenance was ordered
 	completed      bool
 	reported       bool // its current state was reported to the operators
@@ -106,7 +107,8 @@
 		if c.waves[w.ID] != nil {
 			continue
 		}
-		n := &wave{Wave: w, startedAt: now, startedMS: c.timeOfDayMS, phases: map[string]maintenancePhase{}, orderedAt: map[string]time.Duration{}, confirmed: map[string]bool{}, orderedWorkers: map[string]string{}}
+		n := &wave{Wave: w, startedAt: now, startedMS: c.timeOfDayMS, phases: map[string]maintenancePhase{}, orderedAt: map[string]time.Duration{}, confirmed: map[string]bool{},
+			repeated: map[string]bool{}, orderedWorkers: map[string]string{}}
 		n.MaxInMaintenance = max(1, n.MaxInMaintenance)
 		if row, ok := c.storedWaves[w.ID]; ok {
 			n.restore(row, c.timeOfDayMS, now)
@@ -267,8 +269,13 @@
 		w.confirmed[id] = true
 		w.phases[id] = machineDown
 		c.handleMachineDown(w, id, now)
+	case p == machineOrdered && !w.confirmed[id] && m.State != batch.MachineUp:
+		if c.machinesAt-w.orderedAt[id] >= maintenanceRetryInterval {
+			c.withdrawMaintenance(w, id) // it is being moved or is down, and no order is in flight
+		}
 	case p == machineOrdered && !w.confirmed[id]:
 		if since >= maintenanceRetryInterval {
+			w.repeated[id] = true
 			c.orderMaintenance(w, id, now)
 		}
 	case p == machineOrdered && m.State == batch.MachineInMaintenance:
@@ -278,6 +285,12 @@
 	}
 }
 
+// withdrawMaintenance makes a machine wait again whose maintenance was ordered and hasn't begun. It is ordered again once the machine is up.
+func (c *Core) withdrawMaintenance(w *wave, id string) {
+	w.phases[id], w.repeated[id] = machineWaiting, false
+	c.rows.put(waveRow(w.ID))
+}
+
 func (c *Core) finishMachine(w *wave, id, reason string) {
 	w.phases[id] = machineFinished
 	c.rows.put(waveRow(w.ID))
@@ -423,8 +436,9 @@
 		w.confirmed[m.Machine] = true
 		c.handleMachineDown(w, m.Machine, now)
 	case MaintenanceBusy:
-		w.phases[m.Machine] = machineWaiting // it is being moved or is down; maintenance is ordered again once it is up
-		c.rows.put(waveRow(w.ID))
+		if !w.repeated[m.Machine] {
+			c.withdrawMaintenance(w, m.Machine)
+		}
 	case MaintenanceNotDue:
 		c.finishMachine(w, m.Machine, r.String())
 	}
--- a/internal/dispatch/maintenance_test.go
+++ b/internal/dispatch/maintenance_test.go
@@ -17,8 +17,11 @@
 	workers          map[string]string // machine -> worker
 	upAt             map[string]time.Duration
 	maintained       map[string]int
-	responsesToLose  int // number of responses still to lose
-	ordersToLose     int // number of orders still to lose
+	responsesToLose  int           // number of responses still to lose
+	ordersToLose     int           // number of orders still to lose
+	repeatsToRefuse  int           // number of repeated orders still to refuse because the provider accepts no more calls
+	listOutage       time.Duration // time after a lost response in which the list can't be read
+	listFailsUntil   time.Duration
 	maxInMaintenance int // largest number of machines in maintenance at the same time
 	orders           map[string][]machineOrder
 	keepListed       bool // the registry still lists workers whose machine is down
@@ -65,6 +68,10 @@
 		f.ordersToLose--
 		return MaintenanceUnknown
 	}
+	if f.repeatsToRefuse > 0 && len(f.orders[m.Machine]) > 1 {
+		f.repeatsToRefuse--
+		return MaintenanceBusy
+	}
 	if f.maintained[m.Machine] == 0 {
 		if f.states[m.Machine] != batch.MachineUp {
 			return MaintenanceBusy
@@ -78,6 +85,7 @@
 	}
 	if f.responsesToLose > 0 {
 		f.responsesToLose--
+		f.listFailsUntil = f.s.fleet.now + f.listOutage
 		return MaintenanceUnknown
 	}
 	return MaintenanceBegun
@@ -101,7 +109,7 @@
 			if l.frozen || l.core.Deposed() {
 				continue
 			}
-			if l.core.NeedsMachines(s.fleet.now) {
+			if s.fleet.now >= f.listFailsUntil && l.core.NeedsMachines(s.fleet.now) {
 				l.core.OnMachines(f.list(), s.fleet.now)
 			}
 			for _, m := range l.core.TakeMaintenance() {
@@ -146,6 +154,49 @@
 	must.Eq(t, []WaveReport{{ID: "1", Completed: true}}, s.leader().TakeWaveReports(), must.Sprint("a lost report is repeated"))
 }
 
+// Guards against a wave that exceeds its cap because the refusal of a repeated order is taken as proof that the first one, which got no response, was
+// not carried out.
+func TestRefusedRepeatDoesNotRevokeAMachineOrder(t *testing.T) {
+	refused := 0
+	for outage := time.Duration(0); outage < 2*time.Second; outage += testStep {
+		s := newSystem(t, 5, 1, 4)
+		f := newFakeMachines(s)
+		f.responsesToLose, f.repeatsToRefuse, f.listOutage = 1, 1, outage
+		s.leader().SetWaves([]batch.Wave{waveOf(f, 1, 30*time.Second)}, s.fleet.now)
+		f.run(30 * time.Second)
+		refused += 1 - f.repeatsToRefuse
+		must.Eq(t, 1, f.maxInMaintenance, must.Sprintf("list not readable for %v", outage))
+		must.Eq(t, 4, len(f.maintained))
+		for _, w := range f.list() {
+			must.False(t, s.leader().workers[w.Worker].takenDown, must.Sprintf("%s is in use again", w.Worker))
+		}
+	}
+	must.Positive(t, refused, must.Sprint("no order was repeated"))
+}
+
+// Guards against a machine that occupies a place in its wave for as long as it is down, after an order that got no response.
+func TestMachineThatFailsBeforeItsMaintenanceDoesNotBlockTheWave(t *testing.T) {
+	s := newSystem(t, 5, 1, 3)
+	f := newFakeMachines(s)
+	f.ordersToLose = 1
+	w := waveOf(f, 1, 60*time.Second)
+	s.leader().SetWaves([]batch.Wave{w}, s.fleet.now)
+	for f.ordersToLose > 0 {
+		f.run(testStep)
+	}
+	var failed string
+	for id := range f.orders {
+		failed = id
+	}
+	f.states[failed] = batch.MachineDown
+	f.run(20 * time.Second)
+	must.Eq(t, 2, len(f.maintained), must.Sprint("the other machines"))
+	f.states[failed] = batch.MachineUp
+	f.run(10 * time.Second)
+	must.Eq(t, 3, len(f.maintained))
+	must.Eq(t, 1, f.maxInMaintenance)
+}
+
 // Guards against a new leader that takes down machines in addition to those that its predecessor has ordered, or that loses track of which ones have
 // finished.
 func TestWaveGoesOnUnderANewLeader(t *testing.T) {
