Apply a machine's maintenance only to the incarnation it was ordered for

An order for maintenance is repeated while it gets no response, and a repetition is also confirmed if the maintenance is over. The confirmation was applied to whatever then ran under the id that the worker had at the first order: all its runs were closed as taken down, and the worker got no more work under this leader. If the worker had started again under its id in the meantime, its runs still existed and their tasks started elsewhere beside them. A worker that came back under its id after a confirmed maintenance, before its entry left the registry, also stayed without work.

The wave now records the incarnation with the id. A later incarnation keeps its runs, and its registry entry makes the worker usable again. If the later incarnation was taken down as well, its runs end when their leases expire.

Evidence: TestMaintenanceEndsOnlyTheIncarnationThatItWasOrderedFor failed before the change (the task of a run on incarnation 2 was waiting after the confirmation of an order for incarnation 1). TestWorkerIsUsedAgainAfterMaintenance failed without the change of setWorker (the job was pending 6 s after the wave). Both pass with the change.

--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -78,13 +78,19 @@
 	startedMS      int64 // time of day when the first leader saw the wave, Unix milliseconds
 	phases         map[string]maintenancePhase
 	orderedAt      map[string]time.Duration
-	confirmed      map[string]bool   // machines whose maintenance has begun, according to a response or the list of machines
-	repeated       map[string]bool   // machines whose order was repeated because it got no response; it may have begun the maintenance
-	orderedWorkers map[string]string // worker on each machine when its maintenance was ordered
+	confirmed      map[string]bool      // machines whose maintenance has begun, according to a response or the list of machines
+	repeated       map[string]bool      // machines whose order was repeated because it got no response; it may have begun the maintenance
+	orderedWorkers map[string]workerRef // worker on each machine when its maintenance was ordered
 	completed      bool
 	reported       bool // its current state was reported to the operators
 }
 
+// workerRef identifies an incarnation of a worker.
+type workerRef struct {
+	id          string
+	incarnation int64
+}
+
 // waveValue is the row of a wave.
 type waveValue struct {
 	StartedMS int64    `json:"since"`
@@ -108,7 +114,7 @@
 			continue
 		}
 		n := &wave{Wave: w, startedAt: now, startedMS: c.timeOfDayMS, phases: map[string]maintenancePhase{}, orderedAt: map[string]time.Duration{}, confirmed: map[string]bool{},
-			repeated: map[string]bool{}, orderedWorkers: map[string]string{}}
+			repeated: map[string]bool{}, orderedWorkers: map[string]workerRef{}}
 		n.MaxInMaintenance = max(1, n.MaxInMaintenance)
 		if row, ok := c.storedWaves[w.ID]; ok {
 			n.restore(row, c.timeOfDayMS, now)
@@ -391,7 +397,11 @@
 // storeMaintenance orders the maintenance of a machine once the intent is stored, so that the next leader knows that it may begin.
 func (c *Core) storeMaintenance(w *wave, id string) {
 	w.phases[id] = machineStoring
-	w.orderedWorkers[id] = c.machines[id].Worker
+	ref := workerRef{id: c.machines[id].Worker}
+	if machineWorker := c.workers[ref.id]; machineWorker != nil {
+		ref.incarnation = machineWorker.Incarnation
+	}
+	w.orderedWorkers[id] = ref
 	row := waveRow(w.ID)
 	c.rows.put(row)
 	c.afterStored(row, func() {
@@ -409,10 +419,12 @@
 }
 
 // handleMachineDown closes all runs on a machine that is down. The registry lists its worker for some more seconds; starts there would get no
-// response, and their tasks would wait for the worker's leases to expire.
+// response, and their tasks would wait for the worker's leases to expire. A later incarnation of the worker may have started after the maintenance,
+// since a repeated order is also confirmed if the maintenance is over.
 func (c *Core) handleMachineDown(w *wave, id string, now time.Duration) {
-	machineWorker := c.workers[w.orderedWorkers[id]]
-	if machineWorker == nil || machineWorker.takenDown {
+	ref := w.orderedWorkers[id]
+	machineWorker := c.workers[ref.id]
+	if machineWorker == nil || machineWorker.takenDown || machineWorker.Incarnation != ref.incarnation {
 		return
 	}
 	machineWorker.takenDown = true
--- a/internal/dispatch/maintenance_test.go
+++ b/internal/dispatch/maintenance_test.go
@@ -24,6 +24,7 @@
 	listFailsUntil   time.Duration
 	maxInMaintenance int // largest number of machines in maintenance at the same time
 	orders           map[string][]machineOrder
+	keepsIDs         bool // the worker returns under the id that it had
 	keepListed       bool // the registry still lists workers whose machine is down
 }
 
@@ -101,7 +102,9 @@
 				delete(f.upAt, id)
 				f.states[id] = batch.MachineUp
 				old := s.fleet.workers[f.workers[id]]
-				f.workers[id] += "+"
+				if !f.keepsIDs {
+					f.workers[id] += "+"
+				}
 				s.fleet.addWorker(f.workers[id], old.Rack)
 			}
 		}
@@ -297,6 +300,52 @@
 	must.Eq(t, 0, s.fleet.startsToLostWorkers, must.Sprint("starts were sent to workers that are down"))
 }
 
+// Guards against a repeated machine order that closes the runs of a later incarnation of the worker, so that they start elsewhere beside it.
+func TestMaintenanceEndsOnlyTheIncarnationThatItWasOrderedFor(t *testing.T) {
+	c := New(1, testPolicy(), testBounds, discardLog())
+	report := func(now time.Duration, r WorkerReport) {
+		c.SetWorkers([]batch.Worker{incarnationOf(r.Incarnation, "a")}, now)
+		c.OnReport("w", r, now, now)
+	}
+	machine := []batch.Machine{{ID: "m", Pool: "svc", State: batch.MachineUp, Worker: "w"}}
+	report(0, WorkerReport{Incarnation: 1, Clock: time.Minute})
+	c.SetWaves([]batch.Wave{{ID: "1", Machines: []string{"m"}, MaxInMaintenance: 1, TargetDuration: time.Minute}}, 0)
+	c.OnMachines(machine, 0)
+	c.Tick(0, 0)
+	c.OnStored(c.TakeCommit(), 0)
+	must.Len(t, 1, c.TakeMaintenance())
+
+	// The order is carried out, but it gets no response and the list can't be read until the worker has started again.
+	now := machinesMaxAge + time.Second
+	c.Tick(now, now.Milliseconds())
+	report(now, WorkerReport{Incarnation: 2, Clock: time.Millisecond})
+	c.AddJob(simpleJob("j", "normal", 1, 1, smallNeed), now)
+	starts := startsAfterPlan(c, now)
+	must.Len(t, 1, starts)
+	c.OnStart(starts[0], Accepted, now)
+	c.OnMachines(machine, now)
+	c.Tick(now, now.Milliseconds())
+	repeated := c.TakeMaintenance()
+	must.Len(t, 1, repeated)
+	c.OnMaintenance(repeated[0], MaintenanceBegun, now)
+	must.Eq(t, running, c.task("j.0.0.0").phase)
+	must.False(t, c.workers["w"].takenDown)
+}
+
+// Guards against a worker that gets no more work although it has started again under the same id after the maintenance of its machine.
+func TestWorkerIsUsedAgainAfterMaintenance(t *testing.T) {
+	s := newSystem(t, 5, 1, 2)
+	f := newFakeMachines(s)
+	f.keepsIDs, f.keepListed = true, true
+	s.leader().SetWaves([]batch.Wave{waveOf(f, 1, 20*time.Second)}, s.fleet.now)
+	f.run(15 * time.Second)
+	must.Eq(t, []WaveReport{{ID: "1", Completed: true}}, s.leader().TakeWaveReports())
+	s.submit(simpleJob("j", "normal", 1, 2, batch.Resources{MilliCores: 1000, Accelerators: 8}))
+	f.run(6 * time.Second)
+	must.Eq(t, batch.Completed, s.state("j"))
+	s.mustHaveNoViolations()
+}
+
 // Guards against a wave that waits forever for machines that were removed.
 func TestWaveSkipsRemovedMachines(t *testing.T) {
 	s := newSystem(t, 4, 1, 2)
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -406,6 +406,9 @@
 		w.drainingSince = now
 		c.log.WithFields(logrus.Fields{"worker": w.ID, "remaining_ms": e.Remaining.Milliseconds(), "runs": len(w.allocs)}).Info("worker is draining")
 	}
+	if e.Incarnation > w.entryIncarnation {
+		w.takenDown = false
+	}
 	incarnation := max(w.Incarnation, e.Incarnation)
 	w.Worker, w.entryIncarnation = e, e.Incarnation
 	w.Incarnation = incarnation
