--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"samphirewell/internal/batch"
+	"samphirewell/internal/rowstore"
 )
 
 // incarnationOf returns the registry entry of an incarnation of worker "w", which has the given label.
@@ -42,3 +43,19 @@
 	c.AddJob(simpleJob("any", "normal", 1, 1, smallNeed), now)
 	must.Len(t, 1, startsAfterPlan(c, now))
 }
+
+// Guards against a new leader that takes a worker for restarted, and closes its runs, because an older row names an earlier incarnation of it.
+func TestTakeoverKeepsRunsOfTheNewestStoredIncarnation(t *testing.T) {
+	c := New(2, testPolicy(), testBounds, discardLog())
+	row := func(job string, incarnation int64) rowstore.Row {
+		return rowstore.Row{Key: rowID{kind: taskRows, job: job}.key(), Value: mustEncode([]taskValue{{Active: true, Run: 1, Worker: "w", Incarnation: incarnation}})}
+	}
+	jobs := []batch.Job{simpleJob("before", "normal", 1, 1, smallNeed), simpleJob("running", "normal", 1, 1, smallNeed)}
+	c.Restore(jobs, nil, []rowstore.Row{row("before", 1), row("running", 2)}, 0, 0)
+	c.SetWorkers([]batch.Worker{incarnationOf(2, "a")}, 0)
+	must.Eq(t, running, c.task("running.0.0.0").phase)
+	now := time.Second
+	c.OnReport("w", WorkerReport{Incarnation: 2, Clock: time.Second, Running: []RunReport{{Task: "running.0.0.0", Run: 1}}}, now, now)
+	must.Eq(t, running, c.task("running.0.0.0").phase)
+	must.Eq(t, waiting, c.task("before.0.0.0").phase)
+}
