Count the failure of a run that was closed before its end was reported

A run is closed without a report of its end when its leases have expired or its worker is taken for restarted. If the worker then listed the run as failed before the next run of the task was ordered, the failure wasn't counted: applyEnd counted failures of earlier runs only, while the closed run was still the newest one. The task got one more attempt than its queue allows.

A failed end of the newest run is now counted too. countFailure counts each run once, so that an end that is reported again, also to another leader, changes nothing.

Evidence: TestFailureOfAClosedRunIsCounted failed before the change (the job was running after the failure of its only attempt) and passes with it.

--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -175,7 +175,7 @@
 		// The run was closed because its lease had expired, but it was done before that. Another run of the task isn't needed.
 		c.logTask(t).WithFields(logrus.Fields{"ended_run": e.Run, "ended_worker": w.ID}).Info("earlier run was done")
 		c.adoptEarlierResult(t, now)
-	case t != nil && e.Kind == EndFailed && t.group.run > e.Run && !t.group.finished:
+	case t != nil && e.Kind == EndFailed && t.group.run >= e.Run && !t.group.finished:
 		c.countFailure(t, e.Run, w.ID, now)
 	case a == nil:
 		c.log.WithFields(logrus.Fields{"task": e.Task, "run": e.Run, "worker": w.ID, "kind": e.Kind.String()}).Debug("end of an untracked run")
