--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -277,7 +277,7 @@
 		c.handleMachineDown(w, id, now)
 	case p == machineOrdered && !w.confirmed[id] && m.State != batch.MachineUp:
 		if c.machinesAt-w.orderedAt[id] >= maintenanceRetryInterval {
-			c.withdrawMaintenance(w, id) // it is being moved or is down, and no order is in flight
+			c.withdrawMaintenance(w, id) // it is being moved or is down, also after the time limit of the last order
 		}
 	case p == machineOrdered && !w.confirmed[id]:
 		if since >= maintenanceRetryInterval {
