--- a/internal/dispatch/failure_test.go
+++ b/internal/dispatch/failure_test.go
@@ -18,7 +18,7 @@
 	j.Queue.Attempts = 1
 	c.AddJob(j, 0)
 	start := startsAfterPlan(c, 0)[0]
-	c.OnStart(start, Accepted, 0)
+	c.OnStart(start, Delivery{Result: Accepted, Response: Accepted}, 0)
 	now := 2 * testBounds.LeaseMax
 	c.Tick(now, now.Milliseconds())
 	must.Eq(t, waiting, c.task(start.Task).phase)
--- a/internal/dispatch/maintenance_test.go
+++ b/internal/dispatch/maintenance_test.go
@@ -322,7 +322,7 @@
 	c.AddJob(simpleJob("j", "normal", 1, 1, smallNeed), now)
 	starts := startsAfterPlan(c, now)
 	must.Len(t, 1, starts)
-	c.OnStart(starts[0], Accepted, now)
+	c.OnStart(starts[0], Delivery{Result: Accepted, Response: Accepted}, now)
 	c.OnMachines(machine, now)
 	c.Tick(now, now.Milliseconds())
 	repeated := c.TakeMaintenance()
