Repeat an acknowledgement that a worker has not received

A renewal that acknowledged an end got no response. The next report listed the end again, but nothing requested another renewal, so an idle worker kept the end until its next run.

A report that still lists acknowledged ends now requests a renewal. TestAcknowledgementIsRepeatedOnlyUntilItIsReceived failed before.

--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -59,3 +59,34 @@
 	must.Eq(t, running, c.task("running.0.0.0").phase)
 	must.Eq(t, waiting, c.task("before.0.0.0").phase)
 }
+
+// Guards against an acknowledgement that is sent again after it was received, when it may reach a new incarnation, or never sent again after it was lost.
+func TestAcknowledgementIsRepeatedOnlyUntilItIsReceived(t *testing.T) {
+	c := New(1, testPolicy(), testBounds, discardLog())
+	c.SetWorkers([]batch.Worker{incarnationOf(1, "a")}, 0)
+	c.OnReport("w", WorkerReport{Incarnation: 1, Clock: time.Minute}, 0, 0)
+	c.AddJob(simpleJob("first", "normal", 1, 1, smallNeed), 0)
+	start := startsAfterPlan(c, 0)[0]
+	c.OnStart(start, Delivery{Result: Accepted, Response: Accepted}, 0)
+	ended := WorkerReport{Incarnation: 1, Clock: time.Minute, Ended: []EndReport{{N: 1, Task: start.Task, Run: start.Run, Kind: EndDone}}}
+	c.OnReport("w", ended, 1, 1)
+	c.OnStored(c.TakeCommit(), 1)
+	renewal, due := c.NextRenewal("w", 1)
+	must.True(t, due)
+	must.Eq(t, 1, renewal.AckedEnds)
+	c.OnRenewalFailed("w", renewal, 1)
+	renewal, _ = c.NextRenewal("w", 1)
+	must.Eq(t, 0, renewal.AckedEnds, must.Sprint("the worker may have restarted"))
+	c.OnReport("w", ended, 2, 2)
+	renewal, due = c.NextRenewal("w", 2)
+	must.True(t, due)
+	must.Eq(t, 1, renewal.AckedEnds, must.Sprint("an acknowledgement without a response is repeated"))
+	c.OnReport("w", WorkerReport{Incarnation: 1, Clock: time.Minute}, 2, 2)
+
+	// The worker restarts. Its new incarnation carries out the next start and receives the next renewal.
+	c.AddJob(simpleJob("second", "normal", 1, 1, smallNeed), 3)
+	must.Len(t, 1, startsAfterPlan(c, 3))
+	renewal, due = c.NextRenewal("w", 3)
+	must.True(t, due)
+	must.Eq(t, 0, renewal.AckedEnds)
+}
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -149,6 +149,9 @@
 		c.applyRunning(w, k, run, received)
 	}
 	c.closeMissingRuns(w, listed, sent, received)
+	if w.ackedEnd > w.forgottenEnd {
+		c.requestRenewal(w)
+	}
 }
 
 // applyEnd handles the reported end of a run. Ends that were handled before are ignored.
