Test starts on workers whose capacity shrinks and grows

The fake fleet had one fixed capacity and refused what doesn't fit, so no test could show a start that overfills a worker. Workers of the fleet can now start whatever they are told, change their capacity, show that in their entry up to a heartbeat later, and list a run until its stop is complete. A start that brings such a worker over its capacity is a violation; a capacity that has shrunk counts 3 s and a heartbeat after the change. TestPromisesHoldUnderFaults draws all of it.

No logic is changed.

--- /dev/null
+++ b/internal/dispatch/capacity_test.go
@@ -0,0 +1,164 @@
+package dispatch
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"samphirewell/internal/batch"
+)
+
+const (
+	// testHeartbeat is the longest time after which the entry of a worker shows a change.
+	testHeartbeat = time.Second
+	// shrinkGrace is the time from which a capacity that has shrunk bounds the starts on the worker.
+	shrinkGrace = 3*time.Second + testHeartbeat
+)
+
+var fullCapacity = batch.Resources{MilliCores: 64000, MemoryMB: 64000, Accelerators: 8}
+
+// capacityChange is a change of a worker's capacity.
+type capacityChange struct {
+	at            time.Duration
+	before, after batch.Resources
+}
+
+// setCapacity changes the capacity of a worker. Its entry shows the change after the registry's delay.
+func (w *fakeWorker) setCapacity(r batch.Resources) {
+	w.capacityChanges = append(w.capacityChanges, capacityChange{w.fleet.now, w.Capacity, r})
+	w.Capacity = r
+}
+
+// entry returns the worker as the registry shows it.
+func (w *fakeWorker) entry() batch.Worker {
+	e := w.Worker
+	for _, c := range slices.Backward(w.capacityChanges) {
+		if w.fleet.now-c.at >= w.fleet.registryDelay {
+			break
+		}
+		e.Capacity = c.before
+	}
+	return e
+}
+
+// capacityLimits returns the capacities of which at least one has to hold a new start with what runs on the worker.
+func (w *fakeWorker) capacityLimits() []batch.Resources {
+	limits := []batch.Resources{w.Capacity}
+	for _, c := range slices.Backward(w.capacityChanges) {
+		if w.fleet.now-c.at > shrinkGrace {
+			break
+		}
+		limits = append(limits, c.before)
+	}
+	return limits
+}
+
+// checkCapacity checks that a start doesn't bring a worker that doesn't enforce its capacity over it. Runs that are being stopped count.
+func (w *fakeWorker) checkCapacity(o Order, need batch.Resources) {
+	used := w.used().Plus(need)
+	for _, limit := range w.capacityLimits() {
+		if used.fitsWhereNeeded(need, limit) {
+			return
+		}
+	}
+	w.fleet.addViolation("start of %s run %d on %s brings it to %v, its capacity is %v", o.Task, o.Run, w.ID, used, w.Capacity)
+}
+
+// fitsWhereNeeded reports whether the amounts of the needed resources are within the capacity.
+func (r fakeResources) fitsWhereNeeded(need, capacity batch.Resources) bool {
+	return (need.MilliCores == 0 || r.MilliCores <= capacity.MilliCores) && (need.MemoryMB == 0 || r.MemoryMB <= capacity.MemoryMB) &&
+		(need.Accelerators == 0 || r.Accelerators <= capacity.Accelerators)
+}
+
+// beginStop begins to stop a run. The run counts until its end.
+func (w *fakeWorker) beginStop(name string, r *fakeRun) {
+	switch {
+	case w.fleet.stopTime == 0:
+		w.end(name, EndStopped)
+	case r.stopsAt == 0:
+		r.stopsAt = w.fleet.now + w.fleet.stopTime
+	}
+}
+
+// drawCapacityModel draws whether workers enforce their capacity, how late their entries show it and how long stops take.
+func drawCapacityModel(t *rapid.T, f *fakeFleet) {
+	f.ignoresCapacity = rapid.Bool().Draw(t, "ignores capacity")
+	f.registryDelay = rapid.SampledFrom([]time.Duration{0, 250 * time.Millisecond, testHeartbeat}).Draw(t, "registry delay")
+	f.stopTime = rapid.SampledFrom([]time.Duration{0, testStep, testBounds.StopMax}).Draw(t, "stop time")
+}
+
+func drawCapacity(t *rapid.T) batch.Resources {
+	n := rapid.IntRange(0, 8).Draw(t, "capacity in eighths")
+	return batch.Resources{MilliCores: n * 8000, MemoryMB: n * 8000, Accelerators: n}
+}
+
+// newCapacitySystem returns a system of one rack whose workers start whatever they are told, and list what they stop until StopMax.
+func newCapacitySystem(t must.T, workers int) *system {
+	s := newSystem(t, 1, 1, workers)
+	s.fleet.ignoresCapacity, s.fleet.registryDelay, s.fleet.stopTime = true, testHeartbeat, testBounds.StopMax
+	return s
+}
+
+// longJob returns a job of single tasks that run until they are stopped.
+func longJob(id, queue string, priority, tasks int, need batch.Resources) batch.Job {
+	j := simpleJob(id, queue, priority, tasks, need)
+	j.Steps[0].LongRunning = true
+	return j
+}
+
+var accelerator = batch.Resources{MilliCores: 1000, Accelerators: 1}
+
+// runningTasks returns the number of runs on a worker.
+func (s *system) runningTasks(worker string) int { return len(s.fleet.workers[worker].running) }
+
+// Guards against starts beyond a capacity that has shrunk, and against capacity that stays unused after it has grown again.
+func TestStartsFollowTheCapacityOfAWorker(t *testing.T) {
+	s := newCapacitySystem(t, 1)
+	w := s.fleet.workers["w0-0"]
+	s.submit(longJob("first", "normal", 1, 6, accelerator))
+	s.run(time.Second)
+	must.Eq(t, 6, s.runningTasks("w0-0"))
+	w.setCapacity(batch.Resources{MilliCores: 32000, MemoryMB: 32000, Accelerators: 4})
+	s.run(5 * time.Second)
+	s.submit(longJob("second", "normal", 1, 4, accelerator))
+	s.run(5 * time.Second)
+	must.Eq(t, 6, s.runningTasks("w0-0"), must.Sprint("runs stay when the capacity shrinks, and none is added"))
+	w.setCapacity(fullCapacity)
+	s.run(testHeartbeat + time.Second)
+	must.Eq(t, 8, s.runningTasks("w0-0"))
+	s.cancel("first")
+	s.run(2 * time.Second)
+	must.Eq(t, 4, s.runningTasks("w0-0"))
+	s.mustHaveNoViolations()
+}
+
+// Guards against a preemption on a worker that runs more than its capacity: the urgent task must not start before enough runs have ended, and not
+// beside runs that are being stopped.
+func TestPreemptionOnAnOverfullWorkerWaitsForTheEnds(t *testing.T) {
+	s := newCapacitySystem(t, 1)
+	s.submit(longJob("first", "batch", 2, 8, accelerator))
+	s.run(time.Second)
+	s.fleet.workers["w0-0"].setCapacity(batch.Resources{MilliCores: 32000, MemoryMB: 32000, Accelerators: 4})
+	s.run(shrinkGrace + time.Second)
+	s.submit(longJob("urgent", "urgent", 0, 1, batch.Resources{MilliCores: 1000, Accelerators: 2}))
+	s.run(3 * time.Second)
+	must.MapContainsKey(t, s.fleet.firstStart, "urgent")
+	s.mustHaveNoViolations()
+}
+
+// Guards against the start of another task in the place of one whose start got no response and is carried out late.
+func TestStartsWithUnknownOutcomeCount(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSystem(t, seed, 1, 2)
+		s.fleet.noFaults, s.fleet.ignoresCapacity, s.fleet.stopTime, s.fleet.delayShare = false, true, testBounds.StopMax, 0.4
+		for _, id := range []string{"a", "b", "c"} {
+			s.submit(simpleJob(id, "normal", 1, 12, accelerator))
+			s.run(700 * time.Millisecond)
+		}
+		s.run(20 * time.Second)
+		s.mustHaveNoViolations()
+	}
+}
--- a/internal/dispatch/faults_test.go
+++ b/internal/dispatch/faults_test.go
@@ -37,7 +37,7 @@
 	ids := s.fleet.ids()
 	id := rapid.SampledFrom(ids).Draw(t, "worker")
 	w := s.fleet.workers[id]
-	switch rapid.IntRange(0, 14).Draw(t, "action") {
+	switch rapid.IntRange(0, 15).Draw(t, "action") {
 	case 0, 1, 2, 3:
 		*jobs++
 		s.submit(drawJob(t, fmt.Sprintf("j%d", *jobs)))
@@ -78,6 +78,8 @@
 		s.store.ApplyDelayed()
 	case 14:
 		w.refuseShare = rapid.SampledFrom([]float64{0, 0.3, 0.9}).Draw(t, "refused")
+	case 15:
+		w.setCapacity(drawCapacity(t))
 	}
 }
 
@@ -87,6 +89,7 @@
 	s.fleet.responseLossShare, s.fleet.delayShare = 0, 0
 	for _, w := range s.fleet.workers {
 		w.unreachable, w.failsRuns, w.refuseShare = false, false, 0
+		w.setCapacity(fullCapacity)
 	}
 	for _, l := range s.leaders {
 		l.frozen = false
@@ -94,11 +97,13 @@
 }
 
 // Guards against violations on workers under any sequence of faults: two runs of a task, a start after an acknowledged end or beyond the allowed
-// attempts, a start before its predecessors, too many tasks of a step on a worker; and against jobs that never end after the faults.
+// attempts, a start before its predecessors, too many tasks of a step on a worker, a start beyond the capacity of a worker that doesn't enforce it; and
+// against jobs that never end after the faults.
 func TestPromisesHoldUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSystem(t, rapid.Uint64().Draw(t, "seed"), 2, 3)
-		s.fleet.noFaults, s.fleet.slowStops = false, true
+		s.fleet.noFaults = false
+		drawCapacityModel(t, s.fleet)
 		jobs := 0
 		for range rapid.IntRange(5, 40).Draw(t, "length") {
 			drawAction(t, s, &jobs)
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -31,6 +31,7 @@
 	failsRuns       bool    // all runs that it starts fail
 	refuseShare     float64 // share of orders that it refuses as unhealthy
 	hangs           bool    // its runs make no progress
+	capacityChanges []capacityChange
 }
 
 type fakeRun struct {
@@ -40,7 +41,7 @@
 	left         time.Duration
 	gangComplete bool // all members of its gang have started
 	gangDeadline time.Duration
-	stopsAt      time.Duration // end of a stop that is in progress, or 0
+	stopsAt      time.Duration // when a stop that was ordered is complete; 0 without one
 }
 
 // delayedOrder is a copy of an order that got no response and is carried out later by the incarnation that received it.
@@ -60,7 +61,9 @@
 	delayedOrders     []delayedOrder
 	responseLossShare float64 // share of responses to orders and renewals that are lost
 	delayShare        float64 // share of copies of orders that are carried out late and get no response
-	slowStops         bool    // stops take up to testBounds.StopMax; otherwise they are immediate
+	ignoresCapacity   bool    // workers start whatever they are told, even beyond their capacity
+	registryDelay     time.Duration
+	stopTime          time.Duration // how long a run that is being stopped stays
 
 	everDone               map[string]bool          // tasks or gangs that have ended as done, whether or not the worker still lists that
 	doneAcked              map[string]time.Duration // tasks or gangs whose done end was acknowledged
@@ -103,7 +106,7 @@
 		case f.now < w.listedFrom:
 			out = append(out, w.listed)
 		default:
-			out = append(out, w.Worker)
+			out = append(out, w.entry())
 		}
 	}
 	slices.SortFunc(out, func(a, b batch.Worker) int { return strings.Compare(a.ID, b.ID) })
@@ -151,12 +154,8 @@
 }
 
 func (w *fakeWorker) stop(o Order) Result {
-	if r := w.running[o.Task]; r != nil && r.run <= o.Run && r.stopsAt == 0 {
-		if w.fleet.slowStops {
-			r.stopsAt = w.fleet.now + time.Duration(w.fleet.rng.Int64N(int64(testBounds.StopMax)))
-		} else {
-			w.end(o.Task, EndStopped)
-		}
+	if r := w.running[o.Task]; r != nil && r.run <= o.Run {
+		w.beginStop(o.Task, r)
 	}
 	w.highestEndedRun[o.Task] = max(w.highestEndedRun[o.Task], o.Run)
 	return Accepted
@@ -180,9 +179,10 @@
 		return Invalid
 	}
 	step := j.Steps[id.Step]
-	if !w.used().Plus(step.Need).fitsIn(w.Capacity) {
+	if !w.fleet.ignoresCapacity && !w.used().Plus(step.Need).fitsIn(w.Capacity) {
 		return InsufficientCapacity
 	}
+	w.checkCapacity(o, step.Need)
 	f.checkStart(w, o, id, j)
 	if _, ok := f.firstStart[id.Job]; !ok {
 		f.firstStart[id.Job] = f.now
--- a/internal/dispatch/restart_test.go
+++ b/internal/dispatch/restart_test.go
@@ -22,7 +22,7 @@
 			gang := simpleJob("gang", "normal", 1, 2, wholeWorker)
 			gang.Steps[0].Gang = true
 			s.run(time.Second)
-			s.fleet.noFaults, s.fleet.slowStops = false, true
+			s.fleet.noFaults, s.fleet.stopTime = false, testBounds.StopMax
 			for _, id := range s.fleet.ids() {
 				s.fleet.crash(id)
 			}
