Start nothing beside a run whose need is unknown

Symptom: a new leader could fill a worker that doesn't enforce its capacity while the runs of a cancelled job were still being stopped there.

Cause: the job's end is stored and its runs aren't restored, so the new leader finds them in the worker's report only. Such an orphaned run was stopped, but counted as using nothing because its job is no longer tracked.

Evidence: TestRunsOfEndedJobsCountUntilTheyEnd failed before, 8 starts beside 8 runs whose stop takes 200 ms.

Fix: an orphaned run of an untracked job is marked as having an unknown need, and its worker has no free capacity until the worker lists the end. FutureFree still includes what the run will release, so urgent requests may plan on it.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -215,10 +215,15 @@
 	return n
 }
 
+// free returns the capacity that new runs may use. There is none beside a run whose need is unknown.
 func (w *worker) free() batch.Resources {
-	free := w.Capacity
+	free, unknown := w.Capacity, false
 	for _, a := range w.allocs {
 		free = free.Minus(a.need)
+		unknown = unknown || a.needUnknown
+	}
+	if unknown {
+		return batch.Resources{MilliCores: min(0, free.MilliCores), MemoryMB: min(0, free.MemoryMB), Accelerators: min(0, free.Accelerators)}
 	}
 	return free
 }
--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -149,6 +149,22 @@
 	s.mustHaveNoViolations()
 }
 
+// Guards against a new leader that starts tasks beside the runs of a cancelled job whose stop takes time: such a run is unknown to it.
+func TestRunsOfEndedJobsCountUntilTheyEnd(t *testing.T) {
+	s := newCapacitySystem(t, 1)
+	s.submit(longJob("first", "normal", 1, 8, accelerator))
+	s.run(time.Second)
+	s.submit(longJob("second", "normal", 1, 8, accelerator))
+	s.run(time.Second)
+	s.cancel("first")
+	s.run(testStep)
+	s.leaders[0].frozen = true
+	s.elect()
+	s.run(2 * time.Second)
+	must.Eq(t, 8, s.runningTasks("w0-0"))
+	s.mustHaveNoViolations()
+}
+
 // Guards against the start of another task in the place of one whose start got no response and is carried out late.
 func TestStartsWithUnknownOutcomeCount(t *testing.T) {
 	for seed := range uint64(20) {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -135,6 +135,8 @@
 type alloc struct {
 	task *task
 	need batch.Resources
+	// needUnknown means that the job of the run is no longer tracked. The run may use any part of the worker.
+	needUnknown bool
 	// startSettled means that the run can't start later: its start was confirmed, or it was stopped, or it was ordered under an older epoch that the
 	// worker now refuses.
 	startSettled   bool
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -285,11 +285,10 @@
 				bestEffort = bestEffort || a.task.group.spec().BestEffort
 			}
 		}
-		free := w.Capacity.Minus(used)
 		in.workerIndex[w.ID] = len(in.workers)
 		in.workers = append(in.workers, w)
-		in.Workers = append(in.Workers, placement.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: free,
-			FutureFree: free.Plus(ending), EventuallyFree: w.Capacity.Minus(lasting), Usable: c.usable(w, now),
+		in.Workers = append(in.Workers, placement.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: w.free(),
+			FutureFree: w.Capacity.Minus(used).Plus(ending), EventuallyFree: w.Capacity.Minus(lasting), Usable: c.usable(w, now),
 			Suspected: c.staysInService(w) && !w.health.trusted(now), HealthPenalty: w.health.suspicion, LatencySensitive: latencySensitive, BestEffort: bestEffort})
 	}
 }
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -234,6 +234,8 @@
 		a = &alloc{startSettled: true, startSettledAt: now, listed: true}
 		if t := c.task(run.Task); t != nil {
 			a.need = t.group.spec().Need
+		} else {
+			a.needUnknown = true
 		}
 		w.allocs[k] = a
 		c.log.WithFields(logrus.Fields{"task": run.Task, "run": run.Run, "worker": w.ID, "epoch": c.epoch}).Info("stopping an orphaned run")
