Withdraw an assignment when its worker no longer has the capacity

Symptom: the leader could start a task on a worker whose entry had shown a smaller capacity for seconds. Workers that enforce their capacity refuse the start; others run more than they have.

Cause: capacity is checked when a worker is assigned. The start is sent once the assignment is stored, up to 4 s later while the table is slow, and nothing checked the capacity again.

Evidence: TestAssignmentThatNoLongerFitsIsWithdrawn failed before: 6 starts on a worker that had shrunk to 4 accelerators a second before they were sent.

Fix: a start is sent only if the worker holds all its runs in each resource that the task needs. Otherwise the assignment is withdrawn and the task waits again.

--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -149,6 +149,21 @@
 	s.mustHaveNoViolations()
 }
 
+// Guards against a start whose assignment was stored late, after the capacity of its worker had shrunk.
+func TestAssignmentThatNoLongerFitsIsWithdrawn(t *testing.T) {
+	s := newCapacitySystem(t, 1)
+	s.run(time.Second)
+	c := s.leaders[0].core
+	s.submit(longJob("first", "normal", 1, 6, accelerator))
+	c.Plan(s.fleet.now)
+	cm := c.TakeCommit()
+	list := s.fleet.list()
+	list[0].Capacity = batch.Resources{MilliCores: 32000, MemoryMB: 32000, Accelerators: 4}
+	c.SetWorkers(list, s.fleet.now+time.Second)
+	c.OnStored(cm, s.fleet.now+2*time.Second)
+	must.Len(t, 4, c.TakeOrders(), must.Sprint("starts on a worker with room for 4"))
+}
+
 // Guards against a new leader that starts tasks beside the runs of a cancelled job whose stop takes time: such a run is unknown to it.
 func TestRunsOfEndedJobsCountUntilTheyEnd(t *testing.T) {
 	s := newCapacitySystem(t, 1)
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -198,6 +198,11 @@
 		c.closeRun(t, outcomeNotOrdered, now)
 		return
 	}
+	if !w.holds(t.group.spec().Need) {
+		c.logTask(t).Info("start withdrawn, the worker no longer has the capacity")
+		c.closeRun(t, outcomeNotOrdered, now)
+		return
+	}
 	t.phase, t.startedAt, t.percentChangedAt = ordered, now, now
 	lease := w.minClock(now) + startLease
 	w.leaseEnd = max(w.leaseEnd, lease)
@@ -210,6 +215,16 @@
 		LeaseEnd: lease, Resume: t.group.resumeCheckpoint(), Ticket: t.ticketFor(w, now)})
 }
 
+// holds reports whether the worker has the capacity for its runs in each resource that need names, where need is that of one of these runs.
+func (w *worker) holds(need batch.Resources) bool {
+	for _, a := range w.allocs {
+		if a.needUnknown {
+			return false
+		}
+	}
+	return w.free().Plus(need).Covers(need)
+}
+
 // resumeCheckpoint returns the checkpoint from which the group resumes. All members of a gang have to name the same one.
 func (g *taskGroup) resumeCheckpoint() string { return g.tasks[0].checkpoint }
 
