Test the capacity of workers under sequences of changes

TestCapacityHoldsUnderFaults keeps two workers full while capacities, leaders, jobs and the outcome of orders change.

No logic is changed.

--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -193,3 +194,44 @@
 		s.mustHaveNoViolations()
 	}
 }
+
+// Guards against a start beyond a worker's capacity under any sequence of changes of capacities, leaders and jobs, on workers that are full.
+func TestCapacityHoldsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSystem(t, rapid.Uint64().Draw(t, "seed"), 1, 2)
+		s.fleet.noFaults = false
+		drawCapacityModel(t, s.fleet)
+		jobs := 0
+		for range rapid.IntRange(10, 60).Draw(t, "length") {
+			drawCapacityAction(t, s, &jobs)
+			s.run(time.Duration(rapid.IntRange(1, 20).Draw(t, "steps")) * testStep)
+		}
+		s.mustHaveNoViolations()
+	})
+}
+
+// drawCapacityAction applies one randomly drawn change that affects which runs are present on a worker, or the capacity of a worker.
+func drawCapacityAction(t *rapid.T, s *system, jobs *int) {
+	w := s.fleet.workers[rapid.SampledFrom(s.fleet.ids()).Draw(t, "worker")]
+	switch rapid.IntRange(0, 9).Draw(t, "action") {
+	case 0, 1, 2:
+		*jobs++
+		s.submit(drawJob(t, fmt.Sprintf("j%d", *jobs)))
+	case 3, 4:
+		w.setCapacity(drawCapacity(t))
+	case 5:
+		w.setCapacity(fullCapacity)
+	case 6:
+		if *jobs > 0 {
+			s.cancel(fmt.Sprintf("j%d", rapid.IntRange(1, *jobs).Draw(t, "cancelled")))
+		}
+	case 7:
+		s.leaders[len(s.leaders)-1].frozen = rapid.Bool().Draw(t, "frozen")
+		s.elect()
+	case 8:
+		s.fleet.delayShare = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "delayed")
+		s.fleet.responseLossShare = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "loss")
+	case 9:
+		s.outage = !s.outage
+	}
+}
