Pause starts on unenforced workers while their capacities can't be read

Symptom: a host kept starting tasks beyond the capacity of a worker that had shrunk, for as long as the reads of the workers' entries failed while rows could be stored. Workers that don't enforce their capacity then run more than they have.

Cause: the list of workers has no age; the last one that was read is used.

TestStaleCapacitiesPauseStartsWhereNotEnforced fails without the checks.

Fix: when the newest list was confirmed more than 2 s ago, nothing is planned or started in services whose workers don't enforce their capacity. The others aren't affected: their workers refuse what doesn't fit.

--- a/internal/batch/policy.go
+++ b/internal/batch/policy.go
@@ -96,6 +96,16 @@
 	return p.Queues[i], true
 }
 
+// EnforcesCapacity reports whether the workers of a service refuse to start tasks that exceed their free capacity.
+func (p *Policy) EnforcesCapacity(service string) bool {
+	for _, s := range p.Services {
+		if s.Name == service {
+			return s.EnforcesCapacity
+		}
+	}
+	return false
+}
+
 // Guarantee returns the accelerators that are guaranteed to a team.
 func (p *Policy) Guarantee(team string) int {
 	for _, t := range p.Teams {
--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -42,6 +42,8 @@
 	PolicyAge() time.Duration
 	// FollowWorkers calls report with the complete list of workers at each change.
 	FollowWorkers(ctx context.Context, report func([]batch.Worker))
+	// WorkersAge returns the time since the newest list of workers was last confirmed by a read.
+	WorkersAge() time.Duration
 }
 
 // Options holds the settings and dependencies of a Host.
@@ -266,6 +268,7 @@
 	}
 	r := dispatch.NewRunner(core, session, adviceForwarder{h.options.WorkerAPI, h.options.Peers}, h.options.Clock, h.options.Metrics, h.options.Log)
 	r.SetAdviceRequesters(h.OtherHosts)
+	r.SetWorkersAge(h.options.Sources.WorkersAge)
 	h.setRunner(r, session.Epoch())
 	r.SetMachines(h.options.Machines)
 	// A configuration or wave that was read during the restore has not reached the core.
--- a/internal/batchhost/host_test.go
+++ b/internal/batchhost/host_test.go
@@ -50,6 +50,9 @@
 // PolicyAge implements Sources.
 func (emptySources) PolicyAge() time.Duration { return time.Hour }
 
+// WorkersAge implements Sources.
+func (emptySources) WorkersAge() time.Duration { return 0 }
+
 // FollowWorkers implements Sources.
 func (emptySources) FollowWorkers(ctx context.Context, _ func([]batch.Worker)) { <-ctx.Done() }
 
--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -181,6 +181,30 @@
 	s.mustHaveNoViolations()
 }
 
+// Guards against starts on workers that don't enforce their capacity while their entries can't be read, and against a pause of the others.
+func TestStaleCapacitiesPauseStartsWhereNotEnforced(t *testing.T) {
+	for _, enforced := range []bool{false, true} {
+		s := newCapacitySystem(t, 1)
+		s.run(time.Second)
+		c, p := s.leaders[0].core, testPolicy()
+		p.Version, p.Services[0].EnforcesCapacity = 2, enforced
+		c.SetPolicy(p)
+		s.submit(longJob("first", "normal", 1, 2, accelerator))
+		c.Plan(s.fleet.now)
+		cm := c.TakeCommit()
+		s.submit(longJob("second", "normal", 1, 2, accelerator))
+		c.SetWorkersStale(true)
+		c.OnStored(cm, s.fleet.now)
+		s.run(time.Second)
+		must.Eq(t, enforced, s.runningTasks("w0-0") == 4)
+		must.Eq(t, !enforced, s.runningTasks("w0-0") == 0)
+		c.SetWorkersStale(false)
+		s.run(time.Second)
+		must.Eq(t, 4, s.runningTasks("w0-0"))
+		s.mustHaveNoViolations()
+	}
+}
+
 // Guards against the start of another task in the place of one whose start got no response and is carried out late.
 func TestStartsWithUnknownOutcomeCount(t *testing.T) {
 	for seed := range uint64(20) {
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -57,6 +57,7 @@
 	forgotten            []string       // ids of jobs whose state is no longer kept
 	dirty                bool           // something changed since the last plan
 	startsDisabled       bool           // no more starts, maintenance orders and advice requests
+	workersStale         bool           // the capacities of workers may have changed unnoticed
 	deposed              bool
 	runTimeEstimates     runTimeEstimates
 	urgentDemand         urgentDemand
@@ -107,6 +108,20 @@
 // StopStarting ends the starting of tasks and maintenance and the requests to the adviser, before the host releases leadership.
 func (c *Core) StopStarting() { c.startsDisabled = true }
 
+// SetWorkersStale sets whether the list of workers is so old that their capacities may have changed unnoticed. Then nothing starts in services whose
+// workers don't enforce their capacity.
+func (c *Core) SetWorkersStale(on bool) {
+	if c.workersStale != on {
+		c.log.WithFields(logrus.Fields{"epoch": c.epoch, "stale": on}).Info("age of the list of workers changed")
+		c.workersStale, c.dirty = on, true
+	}
+}
+
+// mayStartIn reports whether what is known of the workers of a service suffices to start tasks there.
+func (c *Core) mayStartIn(service string) bool {
+	return !c.workersStale || c.policy.EnforcesCapacity(service)
+}
+
 // SetBounds sets new limits. Leases that were renewed under a longer limit keep their ends.
 func (c *Core) SetBounds(b Bounds) { c.bounds = b }
 
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -150,7 +150,9 @@
 	}
 	slices.Sort(services)
 	for _, s := range services {
-		c.planService(s, byService[s], guaranteed, now)
+		if c.mayStartIn(s) {
+			c.planService(s, byService[s], guaranteed, now)
+		}
 	}
 }
 
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -27,6 +27,9 @@
 	storeWaitLimit = 300 * time.Millisecond
 	// idlePollInterval is the time after which the core is checked again for work on a worker without runs, in case a wake-up was lost.
 	idlePollInterval = 10 * time.Second
+	// maxWorkersAge is the age up to which the list of workers is used for starts on workers that don't enforce their capacity. Another second may pass
+	// before a start is carried out, and operators bound the use of an old capacity to 3 s and a heartbeat.
+	maxWorkersAge = 2 * time.Second
 )
 
 // WorkerAPI sends orders and renewals to workers and requests to the adviser. Implementations are safe for concurrent use and bound the time of each
@@ -61,6 +64,7 @@
 	log              logrus.FieldLogger
 	metrics          Metrics
 	adviceRequesters func() []string // addresses of other hosts that may send requests to the adviser
+	workersAge       func() time.Duration
 
 	machines MachineProvider // nil if machines can't be maintained
 
@@ -85,9 +89,13 @@
 // NewRunner returns a runner of a core that was just restored.
 func NewRunner(core *Core, s *lead.Session, workers WorkerAPI, c Clock, m Metrics, log logrus.FieldLogger) *Runner {
 	return &Runner{core: core, session: s, workers: workers, clock: c, metrics: m, log: log, wakeup: make(chan struct{}, 1), stored: make(chan struct{}),
-		pollers: map[string]chan struct{}{}, adviceRequesters: func() []string { return nil }, sentAt: c.SinceBoot()}
+		pollers: map[string]chan struct{}{}, adviceRequesters: func() []string { return nil },
+		workersAge: func() time.Duration { return 0 }, sentAt: c.SinceBoot()}
 }
 
+// SetWorkersAge sets the function that returns the age of the list of workers. It must be called before Run.
+func (r *Runner) SetWorkersAge(age func() time.Duration) { r.workersAge = age }
+
 // SetAdviceRequesters sets the function that returns the addresses of the other hosts that may send requests to the adviser. It must be called before
 // Run.
 func (r *Runner) SetAdviceRequesters(requesters func() []string) { r.adviceRequesters = requesters }
@@ -177,6 +185,7 @@
 	if r.core.Deposed() {
 		r.leadErr = lead.ErrDeposed
 	}
+	r.core.SetWorkersStale(r.workersAge() > maxWorkersAge)
 	if now-r.lastTick >= tickInterval {
 		r.lastTick = now
 		r.core.Tick(now, r.clock.WallMS())
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -194,7 +194,7 @@
 	}
 	w := c.workers[t.worker]
 	now := c.now
-	if c.startsDisabled || w.Incarnation != t.incarnation {
+	if c.startsDisabled || w.Incarnation != t.incarnation || !c.mayStartIn(w.Service) {
 		c.closeRun(t, outcomeNotOrdered, now)
 		return
 	}
