Renew an unresponsive worker until it responds, also without runs

What callers saw: tasks that waited although workers were idle.

Cause: after a renewal that waited for the end of a run and got no response, the worker counts as unresponsive, which excludes it from planning until its next report. Another renewal was requested only if the failed one didn't wait, as a worker with runs is renewed anyway. If its last run was closed in the meantime (for example a refused start), nothing was due, and no report could come.

Fix: each failed renewal requests another one. A worker with runs gets the same renewals as before, as an unresponsive worker's renewals don't wait. The renewal is no longer a parameter of OnRenewalFailed.

Evidence: TestWorkerIsRenewedUntilItRespondsEvenWithoutRuns failed before ("the worker is unresponsive and isn't asked again").

--- a/internal/dispatch/delivery_test.go
+++ b/internal/dispatch/delivery_test.go
@@ -139,3 +139,17 @@
 		}
 	}
 }
+
+// Guards against a worker that gets no new work for ever: a renewal that waited for the end of a run failed after the worker's last run was closed.
+func TestWorkerIsRenewedUntilItRespondsEvenWithoutRuns(t *testing.T) {
+	r, o, _ := orderedStart(t, Unhealthy)
+	_, ok := r.core.NextRenewal("w", time.Second) // due since the worker is registered
+	must.True(t, ok)
+	waiting, ok := r.core.NextRenewal("w", time.Second)
+	must.True(t, ok)
+	must.Eq(t, renewalWait, waiting.Wait)
+	r.send(context.Background(), o)
+	r.core.OnRenewalFailed("w", 2*time.Second)
+	_, ok = r.core.NextRenewal("w", 2*time.Second)
+	must.True(t, ok, must.Sprint("the worker is unresponsive and isn't asked again"))
+}
--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -74,7 +74,7 @@
 	renewal, due := c.NextRenewal("w", 1)
 	must.True(t, due)
 	must.Eq(t, 1, renewal.AckedEnds)
-	c.OnRenewalFailed("w", renewal, 1)
+	c.OnRenewalFailed("w", 1)
 	renewal, _ = c.NextRenewal("w", 1)
 	must.Eq(t, 0, renewal.AckedEnds, must.Sprint("the worker may have restarted"))
 	c.OnReport("w", ended, 2, 2)
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -370,16 +370,14 @@
 func (c *Core) OnRenewalRefused(id string) { c.depose("worker refused a renewal", id) }
 
 // OnRenewalFailed handles a renewal that failed: the worker is suspected and counts as unresponsive.
-func (c *Core) OnRenewalFailed(id string, renewal Renewal, now time.Duration) {
+func (c *Core) OnRenewalFailed(id string, now time.Duration) {
 	c.now = now
 	if w := c.workers[id]; w != nil {
 		if !w.unresponsive {
 			w.health.addFailure(now, 1)
 		}
 		w.unresponsive = true
-		if renewal.Wait == 0 {
-			c.requestRenewal(w)
-		}
+		c.requestRenewal(w)
 	}
 }
 
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -366,7 +366,7 @@
 		case errors.Is(err, ErrRenewalRefused):
 			c.OnRenewalRefused(id)
 		case err != nil:
-			c.OnRenewalFailed(id, renewal, now)
+			c.OnRenewalFailed(id, now)
 			pause = renewalRetryPause
 		default:
 			c.OnReport(id, report, sent, now)
--- a/internal/dispatch/system_test.go
+++ b/internal/dispatch/system_test.go
@@ -182,7 +182,7 @@
 		case refused:
 			l.core.OnRenewalRefused(id)
 		case !responded:
-			l.core.OnRenewalFailed(id, renewal, now)
+			l.core.OnRenewalFailed(id, now)
 			l.nextRenewalAt[id] = now + renewalRetryPause
 		default:
 			// The report is as old as the sending of the renewal; the orders of this step were sent before it.
