Pause between failed renewals

A failed renewal now only makes the next one due. TestFailedRenewalsAreSentAtIntervals failed before.

--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -376,8 +376,7 @@
 		if !w.unresponsive {
 			w.health.addFailure(now, 1)
 		}
-		w.unresponsive = true
-		c.requestRenewal(w)
+		w.unresponsive, w.renewalDue = true, true
 	}
 }
 
--- a/internal/dispatch/runner_test.go
+++ b/internal/dispatch/runner_test.go
@@ -77,3 +77,16 @@
 	defer cancel()
 	must.Eq(t, batch.Running, r.JobState(ctx, "j").State, must.Sprint("the caller gives up first"))
 }
+
+// Guards against renewals that follow each other without a pause, thousands in some seconds, while a worker's address refuses connections.
+func TestFailedRenewalsAreSentAtIntervals(t *testing.T) {
+	core := New(1, testPolicy(), testBounds, discardLog())
+	core.SetWorkers([]batch.Worker{incarnationOf(1, "a")}, 0)
+	core.TakePollWakeups()
+	_, due := core.NextRenewal("w", 0)
+	must.True(t, due)
+	core.OnRenewalFailed("w", 0)
+	must.SliceEmpty(t, core.TakePollWakeups(), must.Sprint("a wake-up ends the pause after a failed renewal"))
+	_, due = core.NextRenewal("w", renewalRetryPause)
+	must.True(t, due)
+}
