End the runs of a worker once another one responds at its address

What callers saw: after the crash of a worker, its tasks waited until its lease had certainly ended before they started elsewhere, although a new worker had been listening at its address for seconds.

Cause: a renewal to the crashed worker gets status 421 from the new one, and Renew returned that as any error. A stop that got 421 counted as confirmed, but its run stayed until the lease ended, too.

Fix: 421 from the address of the worker's newest known incarnation shows that the process which ran its tasks no longer listens there, so it has ended. Renew returns ErrReplaced; the core ends all runs of the worker as "replaced", renews no more and gives it no new work until the registry names another incarnation or address. Results of orders lead to the same conclusion. An answer from an earlier address or for an earlier incarnation is ignored, and one without a known incarnation counts as a failed renewal, as before. A registry entry of an incarnation older than the known one is ignored: its address may be that of another worker, whose 421 would say nothing about the newer incarnation. A report of the ended process that arrives late still counts for the ends in it, but makes no run reappear.

Evidence: TestTasksOfAReplacedWorkerStartAtOnce, TestNewLeaderDetectsAReplacedWorker, TestOrdersDetectAReplacedWorker, TestLateResultsOfAReplacedWorker and TestRenewalAtAReplacedWorker fail without the conclusion; TestReplacedWorkerMayReturnElsewhere fails if old registry entries are used. TestPromisesHoldUnderFaults now also replaces workers and restarts them at other addresses.

--- a/internal/dispatch/faults_test.go
+++ b/internal/dispatch/faults_test.go
@@ -37,7 +37,7 @@
 	ids := s.fleet.ids()
 	id := rapid.SampledFrom(ids).Draw(t, "worker")
 	w := s.fleet.workers[id]
-	switch rapid.IntRange(0, 15).Draw(t, "action") {
+	switch rapid.IntRange(0, 17).Draw(t, "action") {
 	case 0, 1, 2, 3:
 		*jobs++
 		s.submit(drawJob(t, fmt.Sprintf("j%d", *jobs)))
@@ -75,11 +75,18 @@
 			return memstore.None
 		})
 	case 13:
-		s.store.ApplyDelayed()
+		if w.up {
+			s.fleet.replaceWorker(id)
+			w.keepListed = rapid.Bool().Draw(t, "listed")
+		}
 	case 14:
-		w.refuseShare = rapid.SampledFrom([]float64{0, 0.3, 0.9}).Draw(t, "refused")
+		s.fleet.restartElsewhere(id)
 	case 15:
+		w.refuseShare = rapid.SampledFrom([]float64{0, 0.3, 0.9}).Draw(t, "refused")
+	case 16:
 		w.setCapacity(drawCapacity(t))
+	case 17:
+		s.store.ApplyDelayed()
 	}
 }
 
@@ -88,7 +95,7 @@
 	s.store.SetFault(nil)
 	s.fleet.responseLossShare, s.fleet.delayShare = 0, 0
 	for _, w := range s.fleet.workers {
-		w.unreachable, w.failsRuns, w.refuseShare = false, false, 0
+		w.unreachable, w.failsRuns, w.keepListed, w.refuseShare = false, false, false, 0
 		w.setCapacity(fullCapacity)
 	}
 	for _, l := range s.leaders {
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -118,6 +118,9 @@
 // order carries out one copy of an order and returns the result that the sender receives.
 func (f *fakeFleet) order(o Order) Result {
 	w := f.workers[o.Worker.ID]
+	if f.otherWorkerAt(o.Worker) {
+		return OtherIncarnation
+	}
 	if w != nil && !w.up && !o.Stop {
 		f.startsToLostWorkers++
 	}
@@ -462,6 +465,36 @@
 	w.clockOffset = time.Duration(f.rng.IntN(100)) * time.Second
 }
 
+// otherWorkerAt reports whether another worker than the intended one responds at its address. The response may be lost.
+func (f *fakeFleet) otherWorkerAt(intended batch.Worker) bool {
+	for _, w := range f.workers {
+		if w.Address == intended.Address && w.ID != intended.ID && w.up && !w.unreachable {
+			return f.rng.Float64() >= f.responseLossShare
+		}
+	}
+	return false
+}
+
+// replaceWorker crashes a worker; another one with a new id starts at its address. The crashed one stays in the registry.
+func (f *fakeFleet) replaceWorker(id string) {
+	f.removeWorker(id)
+	old := f.workers[id]
+	old.keepListed = true
+	successor := id + "+"
+	for f.workers[successor] != nil {
+		successor += "+"
+	}
+	f.addWorker(successor, old.Rack)
+	f.workers[successor].Address = old.Address
+}
+
+// restartElsewhere restarts a worker under its id at another address.
+func (f *fakeFleet) restartElsewhere(id string) {
+	f.crash(id)
+	w := f.workers[id]
+	w.up, w.keepListed, w.Address = true, false, fmt.Sprintf("%s:%d", id, w.Incarnation)
+}
+
 // removeWorker removes a worker permanently.
 func (f *fakeFleet) removeWorker(id string) {
 	w := f.workers[id]
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -156,6 +156,7 @@
 	contacted      bool          // it has responded under the current epoch
 	unresponsive   bool          // its last renewal got no response
 	takenDown      bool          // its machine was taken down: no run is left on it, and this incarnation doesn't return
+	endedProcess   process       // the newest process that is known to have ended, because another one responded at its address
 	lastClock      time.Duration // the worker's clock in its newest report
 	lastContact    time.Duration // when that report was received
 	leaseEnd       time.Duration // on the worker's clock; no run outlasts it
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -302,7 +302,7 @@
 
 // staysInService reports whether a worker responds and isn't about to leave.
 func (c *Core) staysInService(w *worker) bool {
-	return w.registered && w.described() && !w.Draining && !w.takenDown && !c.closedForMaintenance[w.ID] && w.contacted && !w.unresponsive
+	return w.registered && w.described() && !w.Draining && !w.takenDown && !w.replaced() && !c.closedForMaintenance[w.ID] && w.contacted && !w.unresponsive
 }
 
 // described reports whether the registry entry describes the current incarnation. Another incarnation may have other labels and another capacity.
--- a/internal/dispatch/renewals.go
+++ b/internal/dispatch/renewals.go
@@ -10,7 +10,7 @@
 // NextRenewal returns the renewal to send to a worker now; false if none is due.
 func (c *Core) NextRenewal(id string, now time.Duration) (Renewal, bool) {
 	w := c.workers[id]
-	if w == nil || w.Address == "" {
+	if w == nil || w.Address == "" || w.replaced() {
 		return Renewal{}, false
 	}
 	busy := len(w.allocs) > 0
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -27,6 +27,9 @@
 		c.depose("worker refused a start", o.Worker.ID)
 		return
 	}
+	if d.Response == OtherIncarnation && c.endReplaced(o.Worker, now) {
+		return
+	}
 	t := c.task(o.Task)
 	if t == nil || t.group.run != o.Run || t.phase != ordered {
 		c.settleStaleStart(o, r, now)
@@ -95,6 +98,9 @@
 		c.depose("worker refused a stop", o.Worker.ID)
 		return
 	}
+	if r == OtherIncarnation && c.endReplaced(o.Worker, now) {
+		return
+	}
 	w := c.workers[o.Worker.ID]
 	if w == nil || r == Unknown || r == Unhealthy || o.Worker.Incarnation != w.Incarnation {
 		return // an earlier incarnation may have confirmed it
@@ -143,6 +149,9 @@
 		listed[runKey{e.Task, e.Run}] = true
 		c.applyEnd(w, e, received)
 	}
+	if w.replaced() {
+		return // the report is older than the end of this process
+	}
 	for _, run := range r.Running {
 		k := runKey{run.Task, run.Run}
 		listed[k] = true
@@ -401,6 +410,9 @@
 	if w == nil {
 		w = c.newWorker(e.ID, now)
 	}
+	if e.Incarnation != 0 && e.Incarnation < w.Incarnation {
+		return // the address of an earlier incarnation may be that of another worker now
+	}
 	if e.Incarnation > w.Incarnation {
 		c.setIncarnation(w, e.Incarnation, now)
 	}
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -39,13 +39,17 @@
 	Order(ctx context.Context, o Order) Result
 	// Advise requests tickets for the workers that may run a step.
 	Advise(ctx context.Context, req AdviceRequest) (Advice, error)
-	// Renew sends a renewal and returns the worker's report. ErrRenewalRefused means that the worker has seen a newer epoch.
+	// Renew sends a renewal and returns the worker's report. ErrRenewalRefused means that the worker has seen a newer epoch, ErrReplaced that another
+	// worker responded.
 	Renew(ctx context.Context, r Renewal) (WorkerReport, error)
 }
 
 // ErrRenewalRefused is the error of a renewal under an old epoch.
 var ErrRenewalRefused = errors.New("the worker has seen a newer epoch")
 
+// ErrReplaced is the error of a renewal to an address at which another worker, or another incarnation of the intended one, responded.
+var ErrReplaced = errors.New("another worker responded at the address")
+
 // Clock gives the times that a runner needs.
 type Clock interface {
 	// SinceBoot is a monotonic time that continues while the host is suspended.
@@ -365,6 +369,9 @@
 		switch {
 		case errors.Is(err, ErrRenewalRefused):
 			c.OnRenewalRefused(id)
+		case errors.Is(err, ErrReplaced):
+			c.OnReplaced(id, renewal, now)
+			pause = renewalRetryPause
 		case err != nil:
 			c.OnRenewalFailed(id, now)
 			pause = renewalRetryPause
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -26,6 +26,7 @@
 	outcomeRefused        outcome = "refused"     // the worker didn't start it
 	outcomeMissing        outcome = "missing"     // the worker doesn't list it
 	outcomeRestarted      outcome = "rebooted"    // the worker restarted
+	outcomeReplaced       outcome = "replaced"    // another worker or incarnation responds at the worker's address
 	outcomeNotOrdered     outcome = "not_ordered" // its start was never sent
 	outcomeMachineDown    outcome = "taken_down"  // the machine was taken down for maintenance
 )
--- a/internal/dispatch/system_test.go
+++ b/internal/dispatch/system_test.go
@@ -177,6 +177,11 @@
 		if !ok {
 			continue
 		}
+		if s.fleet.otherWorkerAt(renewal.Worker) {
+			l.core.OnReplaced(id, renewal, now)
+			l.nextRenewalAt[id] = now + renewalRetryPause
+			continue
+		}
 		report, responded, refused := s.fleet.renew(renewal)
 		switch {
 		case refused:
