--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -63,7 +63,12 @@
 	delayShare        float64 // share of copies of orders that are carried out late and get no response
 	ignoresCapacity   bool    // workers start whatever they are told, even beyond their capacity
 	registryDelay     time.Duration
-	stopTime          time.Duration // how long a run that is being stopped stays
+	stopTime          time.Duration            // how long a run that is being stopped stays
+	crashingTasks     map[string]bool          // tasks that crash each worker that starts them
+	restartsUnderID   bool                     // whether crashed workers return under their ids
+	returnsAt         map[string]time.Duration // when crashed workers return
+	crashes           map[string]int           // crashes by the task that caused them
+	lateStarts        map[string]int           // starts of a task after three crashes that it caused
 
 	everDone               map[string]bool          // tasks or gangs that have ended as done, whether or not the worker still lists that
 	doneAcked              map[string]time.Duration // tasks or gangs whose done end was acknowledged
@@ -78,6 +83,7 @@
 
 func newFleet(seed uint64, racks, perRack int) *fakeFleet {
 	f := &fakeFleet{rng: rand.New(rand.NewPCG(seed, 1)), workers: map[string]*fakeWorker{}, jobs: map[string]batch.Job{}, failingJobs: map[string]bool{},
+		crashingTasks: map[string]bool{}, returnsAt: map[string]time.Duration{}, crashes: map[string]int{}, lateStarts: map[string]int{},
 		doneAcked: map[string]time.Duration{}, everDone: map[string]bool{}, firstStart: map[string]time.Duration{}, failures: map[string]int{}, cancelled: map[string]bool{}, noFaults: true}
 	for r := range racks {
 		for i := range perRack {
@@ -251,6 +257,12 @@
 			}
 		}
 	}
+	if f.crashes[o.Task] >= 3 {
+		f.lateStarts[o.Task]++
+		if f.lateStarts[o.Task] >= 3 {
+			f.addViolation("start of %s run %d after it has crashed %d workers", o.Task, o.Run, f.crashes[o.Task])
+		}
+	}
 	if !w.HasLabel(step.Requires) {
 		f.addViolation("start of %s on %s without label %s", o.Task, w.ID, step.Requires)
 	}
@@ -341,6 +353,8 @@
 		}
 	}
 	for _, id := range f.ids() {
+		f.returnWorker(id)
+		f.crashByTask(id)
 		f.workers[id].advance(d)
 	}
 }
--- a/internal/dispatch/system_test.go
+++ b/internal/dispatch/system_test.go
@@ -170,7 +170,7 @@
 	now := s.fleet.now
 	l.core.TakePollWakeups()
 	for _, id := range s.fleet.ids() {
-		if now < l.nextRenewalAt[id] && !l.core.isRenewalDue(id) {
+		if now < l.nextRenewalAt[id] && !l.core.isRenewalDue(id) && !s.connectionBreaks(l, id) {
 			continue
 		}
 		renewal, ok := l.core.NextRenewal(id, now)
@@ -197,6 +197,12 @@
 	}
 }
 
+// connectionBreaks reports whether a worker crashed while a renewal waited there.
+func (s *system) connectionBreaks(l *leader, id string) bool {
+	w := l.core.workers[id]
+	return w != nil && !w.unresponsive && !s.fleet.workers[id].up
+}
+
 func (c *Core) isRenewalDue(id string) bool {
 	w := c.workers[id]
 	return w != nil && w.renewalDue
