Give up tasks that crash the workers which start them

Some tasks crash each worker that starts them.

The class of the fault: an outcome that no one reports isn't counted.

When a worker stops responding, the runs that were starting there (younger than 250 ms) are recorded and stored at once, so that a new leader knows them. Once the crash is certain (another boot, another worker at the address, or gone from the registry with all leases expired), a run counts if it was the only possible cause: the only one starting, or the only one of a group that was suspected before. Two such crashes end the job as failed. Nothing counts if the worker responds again, if it hadn't accepted the start, or if five workers fail within 250 ms, as with racks. Suspected groups start one at a time and apart from other starts, first on empty workers, so that the next crash has one possible cause; a run that lasts 1 s clears its task.

--- /dev/null
+++ b/internal/dispatch/crashes.go
@@ -0,0 +1,238 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"samphirewell/internal/placement"
+)
+
+const (
+	// crashWindow is the age below which a run is suspected to be the cause when its worker crashes, and the time without other starts around the start of
+	// a suspected task on a worker.
+	crashWindow = 250 * time.Millisecond
+	// crashClockError bounds how much later than the crash of its worker the start of a run may seem to be: the response is handled after the failure.
+	crashClockError = 100 * time.Millisecond
+	// crashClearedAge is the age of a run from which its task is no longer suspected.
+	crashClearedAge = time.Second
+	// massCrashWorkers is the number of workers that fail within crashWindow from which a common cause is assumed instead of their tasks.
+	massCrashWorkers = 5
+	// maxCrashes is the number of crashes with a task as their only possible cause after which its job fails.
+	maxCrashes = 2
+	// emptyWorkerWait, spacedStartWait and separateStartWait are the waits of a suspected task after which it may start on a worker with other runs, beside
+	// other suspected tasks on other workers, and on a worker with other recent starts.
+	emptyWorkerWait   = 500 * time.Millisecond
+	spacedStartWait   = time.Second
+	separateStartWait = 1500 * time.Millisecond
+)
+
+// crashRecord is what the crashes of workers tell about a task group that was starting there.
+type crashRecord struct {
+	suspectedRun int   // run from which the group is suspected; 0 if it isn't
+	crashedRuns  []int // runs that were the only possible cause of a crash
+}
+
+func (r *crashRecord) suspected() bool { return r.suspectedRun > 0 }
+
+// merge adds what was stored for another task of the group.
+func (r *crashRecord) merge(suspectedRun int, crashedRuns []int) {
+	r.suspectedRun = max(r.suspectedRun, suspectedRun)
+	if len(crashedRuns) > len(r.crashedRuns) {
+		r.crashedRuns = crashedRuns
+	}
+}
+
+// accuse records that a worker stopped responding while a run of the group was starting there. onlyCause means that no other run is as likely the
+// cause.
+func (r *crashRecord) accuse(run int, onlyCause bool) {
+	if !r.suspected() {
+		r.suspectedRun = run
+	}
+	if onlyCause && !slices.Contains(r.crashedRuns, run) {
+		r.crashedRuns = append(slices.Clip(r.crashedRuns), run)
+	}
+}
+
+// acquit withdraws the accusation of a run.
+func (r *crashRecord) acquit(run int) {
+	if r.suspectedRun == run {
+		r.suspectedRun = 0
+	}
+	r.withdrawCrash(run)
+}
+
+// withdrawCrash removes a run from those that were the only possible cause of a crash. The suspicion remains.
+func (r *crashRecord) withdrawCrash(run int) {
+	r.crashedRuns = slices.DeleteFunc(slices.Clone(r.crashedRuns), func(n int) bool { return n == run })
+}
+
+// accusation is the record of a run that was starting on a worker when the worker stopped responding.
+type accusation struct {
+	task *task
+	run  int
+}
+
+// holds reports whether the worker had accepted the start. Otherwise it may have crashed before.
+func (a accusation) holds() bool { return a.task.group.run == a.run && a.task.confirmed }
+
+// accusationsAt returns the runs that were starting on a worker when it failed, one for each group.
+func accusationsAt(w *worker, failedAt time.Duration) []accusation {
+	var out []accusation
+	for _, k := range sortedKeys(w.allocs) {
+		t := w.allocs[k].task
+		if t == nil || t.group.run != k.run || !t.phase.mayBeRunning() || t.inherited ||
+			slices.ContainsFunc(out, func(a accusation) bool { return a.task.group == t.group }) {
+			continue
+		}
+		if age := failedAt - t.startedAt; age < crashWindow && age > -crashClockError {
+			out = append(out, accusation{t, k.run})
+		}
+	}
+	return out
+}
+
+// onlyCause returns the only group that may have caused a crash: the one that was suspected before, or the only one. It returns nil if several may.
+func onlyCause(accusations []accusation) *taskGroup {
+	var suspected []*taskGroup
+	for _, a := range accusations {
+		if a.task.group.crashes.suspected() {
+			suspected = append(suspected, a.task.group)
+		}
+	}
+	switch {
+	case len(suspected) == 1:
+		return suspected[0]
+	case len(accusations) == 1:
+		return accusations[0].task.group
+	}
+	return nil
+}
+
+// recordFailure records that a worker stopped responding, and which groups may have crashed it. This is stored before the crash is certain, so that
+// a new leader knows it.
+func (c *Core) recordFailure(w *worker, now time.Duration) {
+	w.failedAt = now
+	c.failures = slices.DeleteFunc(c.failures, func(at time.Duration) bool { return at < now-2*c.longestLease() })
+	c.failures = append(c.failures, now)
+	w.accusations = accusationsAt(w, now)
+	cause := onlyCause(w.accusations)
+	for _, a := range w.accusations {
+		g := a.task.group
+		g.crashes.accuse(a.run, g == cause)
+		c.putTasks(g)
+	}
+}
+
+// withdrawAccusations withdraws what was recorded when a worker stopped responding, because it has not crashed.
+func (c *Core) withdrawAccusations(w *worker) {
+	for _, a := range w.accusations {
+		c.withdrawAccusation(a)
+	}
+	w.accusations = nil
+}
+
+func (c *Core) withdrawAccusation(a accusation) {
+	a.task.group.crashes.acquit(a.run)
+	c.putTasks(a.task.group)
+}
+
+// isMassCrash reports whether many workers failed at about the same time.
+func (c *Core) isMassCrash(failedAt time.Duration) bool {
+	n := 0
+	for _, at := range c.failures {
+		if at > failedAt-crashWindow && at < failedAt+crashWindow {
+			n++
+		}
+	}
+	return n >= massCrashWorkers
+}
+
+// confirmCrash handles the certainty that a worker has crashed. It ends jobs whose tasks have crashed too many workers.
+func (c *Core) confirmCrash(w *worker, now time.Duration) {
+	accusations, mass := w.accusations, c.isMassCrash(w.failedAt)
+	w.accusations = nil
+	if w.Draining || w.takenDown {
+		return
+	}
+	c.log.WithFields(logrus.Fields{"epoch": c.epoch, "worker": w.ID, "runs": len(w.allocs), "suspects": len(accusations), "many_workers": mass}).Warn("worker crashed")
+	for _, a := range accusations {
+		g := a.task.group
+		if !a.holds() {
+			c.withdrawAccusation(a)
+			continue
+		}
+		if mass {
+			g.crashes.withdrawCrash(a.run)
+		}
+		c.log.WithFields(logrus.Fields{"epoch": c.epoch, "job": g.job.ID, "task": a.task.name, "run": a.run, "worker": w.ID,
+			"crashes": len(g.crashes.crashedRuns)}).Warn("task is suspected to crash workers")
+		c.putTasks(g)
+		c.failExhausted(g, now)
+	}
+}
+
+// clearSuspicion ends the suspicion of a group whose runs have lasted.
+func (c *Core) clearSuspicion(g *taskGroup, t *task, now time.Duration) {
+	if g.crashes.suspected() && now-t.startedAt >= crashClearedAge && g.allInPhase(running) {
+		c.logTask(t).Info("task is no longer suspected to crash workers")
+		g.crashes = crashRecord{}
+		c.putTasks(g)
+	}
+}
+
+func (c *Core) putTasks(g *taskGroup) {
+	for _, m := range g.tasks {
+		c.rows.put(m.row())
+	}
+}
+
+// mayStartSuspected reports whether a suspected group may be placed now: suspected groups start one after the other, so that each crash has one cause.
+func (c *Core) mayStartSuspected(g *taskGroup, now time.Duration) bool {
+	return now-c.suspectedStartAt >= crashWindow || now-g.readySince > spacedStartWait
+}
+
+// workersForSuspected returns which of the allowed workers (nil means all) may start a suspected group: those without a recent start and, at first,
+// without other runs.
+func workersForSuspected(workers []*worker, allowed map[int]bool, waited, now time.Duration) map[int]bool {
+	if waited > separateStartWait {
+		return allowed
+	}
+	quiet, empty := map[int]bool{}, map[int]bool{}
+	for i, w := range workers {
+		if allowed != nil && !allowed[i] || now-w.startedAt < crashWindow {
+			continue
+		}
+		quiet[i] = true
+		if len(w.allocs) == 0 {
+			empty[i] = true
+		}
+	}
+	if waited <= emptyWorkerWait && len(empty) > 0 {
+		return empty
+	}
+	return quiet
+}
+
+// applyPlacements starts the placed groups. A suspected group starts alone: nothing else starts on its workers at about the same time.
+func (c *Core) applyPlacements(in *planInput, placements []placement.Placement, now time.Duration) {
+	closed := map[int]bool{}
+	isClosed := func(w int) bool { return closed[w] }
+	for _, p := range placements {
+		g := in.requestGroups[p.Request][0]
+		if !g.crashes.suspected() || !c.mayStartSuspected(g, now) || slices.ContainsFunc(p.Workers, isClosed) {
+			continue
+		}
+		c.applyPlacement(in, p, isClosed, now)
+		c.suspectedStartAt = now
+		for _, w := range p.Workers {
+			closed[w], in.workers[w].closedUntil = true, now+2*crashWindow
+		}
+	}
+	for _, p := range placements {
+		if !in.requestGroups[p.Request][0].crashes.suspected() {
+			c.applyPlacement(in, p, isClosed, now)
+		}
+	}
+}
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -148,3 +148,77 @@
 		}
 	})
 }
+
+// Guards against a suspicion that remains after the task has run, so that a later crash of its worker ends its job.
+func TestSuspicionEndsOnceTheTaskRuns(t *testing.T) {
+	s := newSystem(t, 1, 1, 3)
+	s.fleet.noFaults = false
+	j := simpleJob("j", "normal", 1, 1, smallNeed)
+	j.Steps[0].LongRunning = true
+	s.submit(j)
+	for range 4 {
+		s.run(100 * time.Millisecond)
+		for _, id := range s.fleet.runsOf("j") {
+			s.fleet.loseWorker(id)
+		}
+		s.run(6 * time.Second)
+		must.SliceLen(t, 1, s.fleet.runsOf("j"))
+		must.False(t, s.leaders[0].core.task("j.0.0.0").group.crashes.suspected())
+	}
+	s.mustHaveNoViolations()
+}
+
+// Guards against the suspicion of a task that was ordered on a worker which had crashed before without being noticed, as it ran nothing.
+func TestStartOnACrashedWorkerIsNoCauseOfTheCrash(t *testing.T) {
+	s := newSystem(t, 1, 1, 3)
+	s.fleet.noFaults = false
+	s.run(time.Second)
+	for _, id := range s.fleet.ids() {
+		s.fleet.loseWorker(id)
+	}
+	s.submit(simpleJob("j", "normal", 1, 3, wholeWorker))
+	s.run(crashReturnTime + 200*time.Millisecond)
+	for _, g := range s.leaders[0].core.jobs["j"].steps[0][0].groups {
+		must.False(t, g.crashes.suspected())
+	}
+	s.run(10 * time.Second)
+	must.Eq(t, batch.Completed, s.state("j"))
+	s.mustHaveNoViolations()
+}
+
+// Guards against counts that depend on the order or the number of events: each run counts once, and only if it was the only possible cause.
+func TestCrashRecord(t *testing.T) {
+	var r crashRecord
+	r.accuse(3, false)
+	must.Eq(t, crashRecord{suspectedRun: 3}, r)
+	r.accuse(4, true)
+	r.accuse(4, true)
+	r.accuse(6, true)
+	must.Eq(t, []int{4, 6}, r.crashedRuns)
+	r.acquit(6)
+	must.Eq(t, []int{4}, r.crashedRuns)
+	r.withdrawCrash(4)
+	must.True(t, r.suspected())
+	r.acquit(3)
+	must.False(t, r.suspected())
+	r.merge(2, []int{4})
+	r.merge(1, nil)
+	must.Eq(t, crashRecord{suspectedRun: 2, crashedRuns: []int{4}}, r)
+}
+
+// Guards against a crash that counts for one of several tasks that may have caused it, or for none although only one was suspected before.
+func TestOnlyCauseOfACrash(t *testing.T) {
+	group := func(suspected bool) accusation {
+		g := &taskGroup{}
+		if suspected {
+			g.crashes.suspectedRun = 1
+		}
+		return accusation{task: &task{group: g}}
+	}
+	fresh, other, suspect, second := group(false), group(false), group(true), group(true)
+	must.Nil(t, onlyCause(nil))
+	must.Eq(t, fresh.task.group, onlyCause([]accusation{fresh}))
+	must.Nil(t, onlyCause([]accusation{fresh, other}))
+	must.True(t, suspect.task.group == onlyCause([]accusation{fresh, suspect, other}))
+	must.Nil(t, onlyCause([]accusation{suspect, second}))
+}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -56,6 +56,7 @@
 	gang           bool
 	run            int   // number of the current or last run
 	failedRuns     []int // runs that failed
+	crashes        crashRecord
 	avoidedWorkers map[string]bool
 	readySince     time.Duration
 	waitLoggedAt   time.Duration // when its wait was last logged
@@ -155,6 +156,8 @@
 
 	contacted      bool          // it has responded under the current epoch
 	unresponsive   bool          // its last renewal got no response
+	failedAt       time.Duration // when the first of its last renewals without a response failed
+	accusations    []accusation  // of runs that were starting at failedAt
 	takenDown      bool          // its machine was taken down: no run is left on it, and this incarnation doesn't return
 	endedProcess   process       // the newest process that is known to have ended, because another one responded at its address
 	lastClock      time.Duration // the worker's clock in its newest report
@@ -171,4 +174,7 @@
 	renewalDue bool // a renewal that returns immediately is due
 	health     health
 	fullUntil  time.Duration // no new starts before this time, because it refused one for insufficient capacity
+
+	startedAt   time.Duration // when a start was last decided
+	closedUntil time.Duration // no new starts before this time, because a suspected task starts there
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -59,6 +59,11 @@
 func (c *Core) tickWorker(w *worker, now time.Duration) {
 	if w.mayHaveRuns() && w.leasesExpired(now) {
 		c.log.WithFields(logrus.Fields{"worker": w.ID, "runs": len(w.allocs), "silent_ms": (now - w.lastContact).Milliseconds()}).Warn("leases of a worker have expired")
+		if w.registered {
+			c.withdrawAccusations(w)
+		} else {
+			c.confirmCrash(w, now)
+		}
 		c.endAllRuns(w, outcomeLeaseExpired, now)
 	}
 	if !w.registered && len(w.allocs) == 0 {
@@ -137,7 +142,7 @@
 					continue
 				}
 				for _, g := range s.groups {
-					if g.ready() {
+					if g.ready() && (!g.crashes.suspected() || c.mayStartSuspected(g, now)) {
 						byService[service] = append(byService[service], g)
 					}
 				}
@@ -215,9 +220,7 @@
 	for i, run := range d.Preempted {
 		c.preempt(in.runGroups[run], now, preemptorOf(in, d, i))
 	}
-	for _, p := range d.Placements {
-		c.applyPlacement(in, p, now)
-	}
+	c.applyPlacements(in, d.Placements, now)
 	c.logWaiting(in, d, due, freePercent, now)
 }
 
@@ -253,9 +256,13 @@
 	return sum
 }
 
-func (c *Core) applyPlacement(in *planInput, p placement.Placement, now time.Duration) {
+// applyPlacement starts groups on the workers chosen for them, except on closed ones.
+func (c *Core) applyPlacement(in *planInput, p placement.Placement, closed func(worker int) bool, now time.Duration) {
 	groups := in.requestGroups[p.Request]
 	if in.Requests[p.Request].Gang {
+		if slices.ContainsFunc(p.Workers, closed) {
+			return
+		}
 		workers := make([]*worker, len(p.Workers))
 		for i, w := range p.Workers {
 			workers[i] = in.workers[w]
@@ -264,7 +271,9 @@
 		return
 	}
 	for i, w := range p.Workers {
-		c.placeGroup(groups[i], []*worker{in.workers[w]}, now)
+		if !closed(w) {
+			c.placeGroup(groups[i], []*worker{in.workers[w]}, now)
+		}
 	}
 }
 
@@ -297,7 +306,7 @@
 
 // usable reports whether a worker may get new work.
 func (c *Core) usable(w *worker, now time.Duration) bool {
-	return c.staysInService(w) && now >= w.fullUntil && w.health.trusted(now)
+	return c.staysInService(w) && now >= w.fullUntil && now >= w.closedUntil && w.health.trusted(now)
 }
 
 // staysInService reports whether a worker responds and isn't about to leave.
@@ -396,7 +405,8 @@
 }
 
 func sameStep(a, b *taskGroup) bool {
-	return !a.gang && a.job == b.job && a.occurrence == b.occurrence && a.step == b.step && len(a.avoidedWorkers) == 0 && len(b.avoidedWorkers) == 0
+	return !a.gang && a.job == b.job && a.occurrence == b.occurrence && a.step == b.step && len(a.avoidedWorkers) == 0 && len(b.avoidedWorkers) == 0 &&
+		!a.crashes.suspected() && !b.crashes.suspected()
 }
 
 func (c *Core) addRequest(in *planInput, groups []*taskGroup, guaranteed map[*job]bool, now time.Duration) {
@@ -415,6 +425,9 @@
 	r.TasksPerWorker = c.tasksPerWorker(in, g)
 	r.AvoidedWorkers = c.avoidedWorkers(in, g)
 	r.AllowedWorkers = c.allowedWorkers(in, g, now)
+	if g.crashes.suspected() {
+		r.AllowedWorkers = workersForSuspected(in.workers, r.AllowedWorkers, waited, now)
+	}
 	in.Requests = append(in.Requests, r)
 	in.requestGroups = append(in.requestGroups, groups)
 }
--- a/internal/dispatch/replaced.go
+++ b/internal/dispatch/replaced.go
@@ -44,6 +44,11 @@
 	}
 	w.endedProcess = processOf(target)
 	c.log.WithFields(logrus.Fields{"epoch": c.epoch, "worker": w.ID, "address": w.Address, "boot": w.Incarnation, "runs": len(w.allocs)}).Warn("worker was replaced")
+	if !w.unresponsive {
+		c.recordFailure(w, now)
+		w.unresponsive = true
+	}
+	c.confirmCrash(w, now)
 	c.endAllRuns(w, outcomeReplaced, now)
 	c.requestRenewal(w) // is sent once the worker has another process
 	return true
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -135,6 +135,7 @@
 		}
 		c.setIncarnation(w, r.Incarnation, received)
 	}
+	c.withdrawAccusations(w)
 	w.lastClock, w.lastContact, w.unresponsive = r.Clock, received, false
 	if !w.contacted {
 		// A lease that an earlier leader granted ends at most LeaseMax from now.
@@ -260,6 +261,7 @@
 		}
 		return
 	}
+	c.clearSuspicion(t.group, t, now)
 	t.group.saveCheckpoint(t, run.Checkpoint)
 	if run.Percent != t.percent {
 		switch {
@@ -308,6 +310,7 @@
 // the new incarnation may run any other: it may have carried out an order that was in flight. Its own report decides on those.
 func (c *Core) handleRestart(w *worker, incarnation int64, now time.Duration) {
 	c.log.WithFields(logrus.Fields{"worker": w.ID, "boot": incarnation, "old_boot": w.Incarnation}).Warn("worker restarted")
+	c.confirmCrash(w, now)
 	w.appliedEnd, w.ackedEnd, w.forgottenEnd, w.unackedEnds = 0, 0, 0, nil
 	w.contacted, w.leaseEnd, w.lastClock = false, 0, 0
 	w.leasesExpireAt = now + c.longestLease()
@@ -384,6 +387,7 @@
 	if w := c.workers[id]; w != nil {
 		if !w.unresponsive {
 			w.health.addFailure(now, 1)
+			c.recordFailure(w, now)
 		}
 		w.unresponsive, w.renewalDue = true, true
 	}
--- a/internal/dispatch/restore.go
+++ b/internal/dispatch/restore.go
@@ -95,6 +95,7 @@
 	if len(v.Failed) > len(g.failedRuns) {
 		g.failedRuns = v.Failed
 	}
+	g.crashes.merge(v.Suspected, v.Crashed)
 	switch {
 	case v.Done:
 		t.phase = done
@@ -139,9 +140,7 @@
 	for _, steps := range j.steps {
 		for _, s := range steps {
 			for _, g := range s.groups {
-				if !g.finished && len(g.failedRuns) >= j.Queue.Attempts && !g.spec().LongRunning && !j.ending() {
-					c.finish(j, batch.Failed, now)
-				}
+				c.failExhausted(g, now)
 			}
 		}
 	}
--- a/internal/dispatch/rows.go
+++ b/internal/dispatch/rows.go
@@ -160,6 +160,8 @@
 	Incarnation int64  `json:"b,omitempty"`
 	Checkpoint  string `json:"c,omitempty"`
 	Failed      []int  `json:"f,omitempty"` // runs that failed
+	Suspected   int    `json:"s,omitempty"` // run from which it is suspected to crash workers
+	Crashed     []int  `json:"k,omitempty"` // runs that were the only possible cause of a crash
 }
 
 // encode returns the current contents of a row; false if its job is no longer tracked.
@@ -185,7 +187,8 @@
 			if t.id.Index < first || t.id.Index >= first+tasksPerRow || t.phase == waiting && g.run == 0 {
 				continue
 			}
-			v := taskValue{Index: t.id.Index, Done: t.phase == done, Run: g.run, Checkpoint: t.checkpoint, Failed: g.failedRuns}
+			v := taskValue{Index: t.id.Index, Done: t.phase == done, Run: g.run, Checkpoint: t.checkpoint, Failed: g.failedRuns,
+				Suspected: g.crashes.suspectedRun, Crashed: g.crashes.crashedRuns}
 			if t.phase == assigned || t.phase.mayBeRunning() {
 				v.Active, v.Worker, v.Incarnation = true, t.worker, t.incarnation
 			}
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -116,13 +116,18 @@
 		// A group that fails again on other workers is more likely to be the cause than the workers are.
 		w.health.addFailure(now, 1)
 	}
-	for _, m := range g.tasks {
-		c.rows.put(m.row())
-	}
-	if len(g.failedRuns) >= g.job.Queue.Attempts && !g.spec().LongRunning && !g.job.ending() {
-		c.logTask(t).WithField("attempts", len(g.failedRuns)).Warn("no attempt is left")
-		c.finish(g.job, batch.Failed, now)
+	c.putTasks(g)
+	c.failExhausted(g, now)
+}
+
+// failExhausted ends the job of a group as failed if the group has no attempt left or has crashed too many workers.
+func (c *Core) failExhausted(g *taskGroup, now time.Duration) {
+	noAttemptLeft := len(g.failedRuns) >= g.job.Queue.Attempts && !g.spec().LongRunning
+	if g.finished || g.job.ending() || !noAttemptLeft && len(g.crashes.crashedRuns) < maxCrashes {
+		return
 	}
+	c.logTask(g.tasks[0]).WithFields(logrus.Fields{"attempts": len(g.failedRuns), "crashes": len(g.crashes.crashedRuns)}).Warn("no attempt is left")
+	c.finish(g.job, batch.Failed, now)
 }
 
 // stopGroup stops all runs of a task group.
@@ -177,6 +182,7 @@
 		w := workers[i]
 		t.phase, t.worker, t.incarnation, t.startedAt = assigned, w.ID, w.Incarnation, now
 		t.percent, t.startPercent, t.inherited, t.confirmed, t.stopConfirmed = 0, 0, false, false, false
+		w.startedAt = now
 		w.allocs[t.key()] = &alloc{task: t, need: g.spec().Need}
 		c.rows.put(t.row())
 		run := g.run
