Count crashes of workers that are announced to leave

A worker that drains gets no starts, so that a run which was just starting there when it stopped responding was ordered before; the exception is removed. A common cause is assumed for failures within 100 ms only, which is wide enough for a rack, whose connections break together.

TestCrashOfAWorkerThatIsAnnouncedToLeaveCounts failed before with three crashes instead of two.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -17,8 +17,9 @@
 	crashClockError = 100 * time.Millisecond
 	// crashClearedAge is the age of a run from which its task is no longer suspected.
 	crashClearedAge = time.Second
-	// massCrashWorkers is the number of workers that fail within crashWindow from which a common cause is assumed instead of their tasks.
+	// massCrashWorkers is the number of workers that fail within massCrashWindow of each other from which a common cause is assumed instead of their tasks.
 	massCrashWorkers = 5
+	massCrashWindow  = 100 * time.Millisecond
 	// maxCrashes is the number of crashes with a task as their only possible cause after which its job fails.
 	maxCrashes = 2
 	// emptyWorkerWait, spacedStartWait and separateStartWait are the waits of a suspected task after which it may start on a worker with other runs, beside
@@ -140,7 +141,7 @@
 func (c *Core) isMassCrash(failedAt time.Duration) bool {
 	n := 0
 	for _, at := range c.failures {
-		if at > failedAt-crashWindow && at < failedAt+crashWindow {
+		if at > failedAt-massCrashWindow && at < failedAt+massCrashWindow {
 			n++
 		}
 	}
@@ -151,9 +152,6 @@
 func (c *Core) confirmCrash(w *worker, now time.Duration) {
 	accusations, mass := w.accusations, c.isMassCrash(w.failedAt)
 	w.accusations = nil
-	if w.Draining || w.takenDown {
-		return
-	}
 	c.log.WithFields(logrus.Fields{"epoch": c.epoch, "worker": w.ID, "runs": len(w.allocs), "suspects": len(accusations), "many_workers": mass}).Warn("worker crashed")
 	for _, a := range accusations {
 		g := a.task.group
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -149,6 +149,23 @@
 	})
 }
 
+// Guards against a crash that isn't counted because the worker was announced to leave after it had stopped responding.
+func TestCrashOfAWorkerThatIsAnnouncedToLeaveCounts(t *testing.T) {
+	s := newSystem(t, 1, 1, 4)
+	s.fleet.noFaults = false
+	s.fleet.crashingTasks["bad.0.0.0"] = true
+	s.submit(simpleJob("bad", "normal", 1, 1, smallNeed))
+	for range 4 * int(time.Second/testStep) {
+		s.run(testStep)
+		for id := range s.fleet.returnsAt {
+			s.fleet.workers[id].Draining = true
+		}
+	}
+	s.run(10 * time.Second)
+	must.Eq(t, batch.Failed, s.state("bad"))
+	must.Eq(t, 2, s.fleet.crashes["bad.0.0.0"])
+}
+
 // Guards against a suspicion that remains after the task has run, so that a later crash of its worker ends its job.
 func TestSuspicionEndsOnceTheTaskRuns(t *testing.T) {
 	s := newSystem(t, 1, 1, 3)
