Keep runs whose start is still being sent when their worker restarts

A reviewer who hadn't seen the work found that two runs of a task were still possible after a restart under the same id:

- The earlier incarnation carried out the first copy of a start and listed the run, but the response was lost.
The second copy reached the new incarnation.
Its report listed the run, which was closed as rebooted all the same, and the task started elsewhere.
A restart now ends a listed run only if no more copies of its start are sent.
- The lease of a start that the next incarnation accepted was computed for the clock of the earlier one.

TestRunIsKeptIfALaterCopyStartedItAfterARestart, TestLeaseOfAStartThatAnUncontactedIncarnationAccepted and TestLeaseOfAStoppedStartThatTheNextIncarnationAccepted failed before.

--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -30,16 +30,15 @@
 	if d.Response == OtherIncarnation && c.endReplaced(o.Worker, now) {
 		return
 	}
+	if w := c.workers[o.Worker.ID]; w != nil {
+		c.endDelivery(w, o, now)
+	}
 	t := c.task(o.Task)
 	if t == nil || t.group.run != o.Run || t.phase != ordered {
 		c.settleStaleStart(o, r, now)
 		return
 	}
 	w := c.workers[t.worker]
-	if w.Incarnation != o.Worker.Incarnation {
-		// The end of the lease was computed for the clock of the earlier incarnation.
-		w.leaseEnd = max(w.leaseEnd, w.minClock(now)+c.bounds.LeaseMax)
-	}
 	if r != Accepted {
 		c.logTask(t).WithFields(logrus.Fields{"result": r.String(), "response": d.Response.String(), "unanswered_copies": d.UnansweredCopies}).Info("start not confirmed")
 	}
@@ -74,6 +73,21 @@
 	}
 }
 
+// endDelivery records that no more copies of a start are sent. If the worker restarted meanwhile, its new incarnation may have granted the longest lease,
+// since the end of the lease was computed for the clock of the earlier one.
+func (c *Core) endDelivery(w *worker, o Order, now time.Duration) {
+	if a := w.allocs[runKey{o.Task, o.Run}]; a != nil {
+		a.delivered = true
+	}
+	switch {
+	case w.Incarnation == o.Worker.Incarnation:
+	case w.contacted:
+		w.leaseEnd = max(w.leaseEnd, w.minClock(now)+c.bounds.LeaseMax)
+	default:
+		w.leasesExpireAt = max(w.leasesExpireAt, now+c.longestLease())
+	}
+}
+
 // settleStaleStart handles the result of a start whose run is no longer current or no longer waits for that result.
 func (c *Core) settleStaleStart(o Order, r Result, now time.Duration) {
 	if r == Unknown {
@@ -241,7 +255,7 @@
 func (c *Core) applyRunning(w *worker, k runKey, run RunReport, now time.Duration) {
 	a := w.allocs[k]
 	if a == nil {
-		a = &alloc{startSettled: true, startSettledAt: now, listed: true}
+		a = &alloc{startSettled: true, startSettledAt: now, listed: true, delivered: true}
 		if t := c.task(run.Task); t != nil {
 			a.need = t.group.spec().Need
 		} else {
@@ -306,8 +320,9 @@
 	w.Incarnation = incarnation
 }
 
-// handleRestart handles the restart of a worker. Runs that the earlier incarnation has listed have ended. Orders name a worker by its id only, so that
-// the new incarnation may run any other: it may have carried out an order that was in flight. Its own report decides on those.
+// handleRestart handles the restart of a worker. Runs that the earlier incarnation has listed have ended, unless copies of their start are still being
+// sent. Orders name a worker by its id only, so that the new incarnation may run any other: it may have carried out an order that was in flight. Its
+// own report decides on those.
 func (c *Core) handleRestart(w *worker, incarnation int64, now time.Duration) {
 	c.log.WithFields(logrus.Fields{"worker": w.ID, "boot": incarnation, "old_boot": w.Incarnation}).Warn("worker restarted")
 	c.confirmCrash(w, now)
@@ -319,9 +334,13 @@
 		a := w.allocs[k]
 		switch {
 		case a == nil:
-		case a.listed:
+		case a.listed && a.delivered:
 			c.endRunOn(w, k, outcomeRestarted, now)
 		default:
+			a.listed, a.startSettled = false, a.delivered
+			if t := a.task; t != nil && t.phase == running && !a.delivered {
+				t.phase = ordered
+			}
 			c.repeatStop(w, k, a, now)
 		}
 	}
--- a/internal/dispatch/restore.go
+++ b/internal/dispatch/restore.go
@@ -110,7 +110,7 @@
 		// Runs of an earlier incarnation may be stored as well; the next report lacks them.
 		w.Incarnation = max(w.Incarnation, v.Incarnation)
 		// A worker that has seen the new epoch can't carry out older orders, so its next report is complete.
-		w.allocs[t.key()] = &alloc{task: t, need: g.spec().Need, startSettled: true, startSettledAt: now}
+		w.allocs[t.key()] = &alloc{task: t, need: g.spec().Need, startSettled: true, startSettledAt: now, delivered: true}
 		c.requestRenewal(w)
 	}
 }
