Blame tasks for crashes only where no other cause is as likely

- A new leader failed a job whose newest crash wasn't certain: the connection had only been reset.
It now waits for the next certain crash.
- Starts were kept apart when they were placed, but ordered together if the table was slow.
A worker now stays closed until the suspected start has been sent.
- After 1.5 s a suspected task could start beside a new one and was blamed for its crash.
It counts only if it started apart, and it does that for 2.5 s.
- A start that the next incarnation had accepted was counted for the crash of the earlier one, although its run was alive.
The first report of the new incarnation decides.
- Suspected tasks were placed before more urgent ones on the same worker.
Placements are now applied in the order of urgency.

The quiet workers are found once in a cycle instead of for each suspected group. The types and functions have the words of the log lines.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -26,14 +26,14 @@
 	// other suspected tasks on other workers, and on a worker with other recent starts.
 	emptyWorkerWait   = 500 * time.Millisecond
 	spacedStartWait   = time.Second
-	separateStartWait = 1500 * time.Millisecond
+	separateStartWait = 2500 * time.Millisecond
 )
 
 // suspected reports whether runs of the group were starting on a worker when it crashed, and none has lasted since.
 func (g *taskGroup) suspected() bool { return g.suspectedRun > 0 }
 
-// accuse records that a worker stopped responding while a run of the task was starting there.
-func (t *task) accuse(run int, onlyCause bool) {
+// addCrash records that a worker stopped responding while a run of the task was starting there.
+func (t *task) addCrash(run int, onlyCause bool) {
 	if !t.group.suspected() {
 		t.group.suspectedRun = run
 	}
@@ -42,8 +42,8 @@
 	}
 }
 
-// acquit withdraws the accusation of a run.
-func (t *task) acquit(run int) {
+// clearCrash withdraws what addCrash recorded for a run.
+func (t *task) clearCrash(run int) {
 	if t.group.suspectedRun == run {
 		t.group.suspectedRun = 0
 	}
@@ -64,40 +64,41 @@
 	return n
 }
 
-// accusation is the record of a run that was starting on a worker when the worker stopped responding.
-type accusation struct {
+// crashSuspect is the record of a run that was starting on a worker when the worker stopped responding.
+type crashSuspect struct {
 	task *task
 	run  int
 }
 
-// holds reports whether the worker had accepted the start. Otherwise it may have crashed before.
-func (a accusation) holds() bool { return a.task.group.run == a.run && a.task.confirmed }
+// startAccepted reports whether the worker had accepted the start. Otherwise it may have crashed before.
+func (s crashSuspect) startAccepted() bool { return s.task.group.run == s.run && s.task.confirmed }
 
-// accusationsAt returns the runs that were starting on a worker when it failed.
-func accusationsAt(w *worker, failedAt time.Duration) []accusation {
-	var out []accusation
+// suspectsAt returns the runs that were starting on a worker when it failed.
+func suspectsAt(w *worker, failedAt time.Duration) []crashSuspect {
+	var out []crashSuspect
 	for _, k := range sortedKeys(w.allocs) {
 		t := w.allocs[k].task
 		if t == nil || t.group.run != k.run || !t.phase.mayBeRunning() || t.inherited {
 			continue
 		}
 		if age := failedAt - t.startedAt; age < crashWindow && age > -crashClockError {
-			out = append(out, accusation{t, k.run})
+			out = append(out, crashSuspect{t, k.run})
 		}
 	}
 	return out
 }
 
-// onlyCause returns the only group that may have caused a crash: the one that was suspected before, or the only one. It returns nil if several may.
-func onlyCause(accusations []accusation) *taskGroup {
+// onlyCause returns the only group that may have caused a crash: the only one, or the one that was suspected before and started apart from others. It
+// returns nil if several may.
+func onlyCause(suspects []crashSuspect) *taskGroup {
 	var groups, suspected []*taskGroup
-	for _, a := range accusations {
-		g := a.task.group
+	for _, s := range suspects {
+		g := s.task.group
 		if slices.Contains(groups, g) {
 			continue
 		}
 		groups = append(groups, g)
-		if g.suspected() {
+		if g.suspected() && g.startedApart {
 			suspected = append(suspected, g)
 		}
 	}
@@ -113,28 +114,47 @@
 // recordFailure records that a worker stopped responding, and which tasks may have crashed it. This is stored before the crash is certain, so that
 // a new leader knows it.
 func (c *Core) recordFailure(w *worker, now time.Duration) {
-	w.failedAt = now
+	w.failedAt, w.failedIncarnation = now, w.Incarnation
 	c.failures = slices.DeleteFunc(c.failures, func(at time.Duration) bool { return at < now-2*c.longestLease() })
 	c.failures = append(c.failures, now)
-	w.accusations = accusationsAt(w, now)
-	cause := onlyCause(w.accusations)
-	for _, a := range w.accusations {
-		a.task.accuse(a.run, a.task.group == cause)
-		c.putTasks(a.task.group)
+	w.crashSuspects = suspectsAt(w, now)
+	cause := onlyCause(w.crashSuspects)
+	for _, s := range w.crashSuspects {
+		s.task.addCrash(s.run, s.task.group == cause)
+		c.putTasks(s.task.group)
 	}
 }
 
-// withdrawAccusations withdraws what was recorded when a worker stopped responding, because it has not crashed.
-func (c *Core) withdrawAccusations(w *worker) {
-	for _, a := range w.accusations {
-		c.withdrawAccusation(a)
+// checkSuspects handles that a worker responds again. If it hasn't restarted, it has not crashed. If it has, the new incarnation may have carried
+// out the starts of the runs that it lists.
+func (c *Core) checkSuspects(w *worker, listed []RunReport, now time.Duration) {
+	switch {
+	case len(w.crashSuspects) == 0:
+	case w.Incarnation == w.failedIncarnation:
+		c.clearSuspects(w)
+	default:
+		w.crashSuspects = slices.DeleteFunc(w.crashSuspects, func(s crashSuspect) bool {
+			runs := slices.ContainsFunc(listed, func(r RunReport) bool { return r.Task == s.task.name && r.Run == s.run })
+			if runs {
+				c.clearSuspect(s)
+			}
+			return runs
+		})
+		c.confirmCrash(w, now)
+	}
+}
+
+// clearSuspects withdraws what was recorded when a worker stopped responding, because it has not crashed.
+func (c *Core) clearSuspects(w *worker) {
+	for _, s := range w.crashSuspects {
+		c.clearSuspect(s)
 	}
-	w.accusations = nil
+	w.crashSuspects = nil
 }
 
-func (c *Core) withdrawAccusation(a accusation) {
-	a.task.acquit(a.run)
-	c.putTasks(a.task.group)
+func (c *Core) clearSuspect(s crashSuspect) {
+	s.task.clearCrash(s.run)
+	c.putTasks(s.task.group)
 }
 
 // isMassCrash reports whether many workers failed at about the same time.
@@ -150,22 +170,22 @@
 
 // confirmCrash handles the certainty that a worker has crashed. It ends jobs whose tasks have crashed too many workers.
 func (c *Core) confirmCrash(w *worker, now time.Duration) {
-	accusations, mass := w.accusations, c.isMassCrash(w.failedAt)
-	w.accusations = nil
-	c.log.WithFields(logrus.Fields{"epoch": c.epoch, "worker": w.ID, "runs": len(w.allocs), "suspects": len(accusations), "many_workers": mass}).Warn("worker crashed")
-	for _, a := range accusations {
-		g := a.task.group
-		if !a.holds() {
-			c.withdrawAccusation(a)
+	suspects, mass := w.crashSuspects, c.isMassCrash(w.failedAt)
+	w.crashSuspects = nil
+	c.log.WithFields(logrus.Fields{"epoch": c.epoch, "worker": w.ID, "runs": len(w.allocs), "suspects": len(suspects), "many_workers": mass}).Warn("worker crashed")
+	for _, s := range suspects {
+		g := s.task.group
+		if !s.startAccepted() {
+			c.clearSuspect(s)
 			continue
 		}
 		if mass {
-			a.task.withdrawCrash(a.run)
+			s.task.withdrawCrash(s.run)
 		}
-		c.log.WithFields(logrus.Fields{"epoch": c.epoch, "job": g.job.ID, "task": a.task.name, "run": a.run, "worker": w.ID,
-			"crashes": len(a.task.crashedRuns)}).Warn("task is suspected to crash workers")
+		c.log.WithFields(logrus.Fields{"epoch": c.epoch, "job": g.job.ID, "task": s.task.name, "run": s.run, "worker": w.ID,
+			"crashes": len(s.task.crashedRuns)}).Warn("task is suspected to crash workers")
 		c.putTasks(g)
-		c.failExhausted(g, now)
+		c.failExhausted(g, g.crashes(), now)
 	}
 }
 
@@ -192,46 +212,87 @@
 	return now-c.suspectedStartAt >= crashWindow || now-g.readySince > spacedStartWait
 }
 
+// closedForSuspected reports whether nothing else may start on a worker because a suspected task starts there.
+func (w *worker) closedForSuspected(now time.Duration) bool {
+	if now < w.closedUntil {
+		return true
+	}
+	for _, a := range w.allocs {
+		if a.task != nil && a.task.phase == assigned && a.task.group.suspected() {
+			return true // its start is ordered once the assignment is stored
+		}
+	}
+	return false
+}
+
 // workersForSuspected returns which of the allowed workers (nil means all) may start a suspected group: those without a recent start and, at first,
 // without other runs.
-func workersForSuspected(workers []*worker, allowed map[int]bool, waited, now time.Duration) map[int]bool {
+func (in *planInput) workersForSuspected(allowed map[int]bool, waited, now time.Duration) map[int]bool {
 	if waited > separateStartWait {
 		return allowed
 	}
-	quiet, empty := map[int]bool{}, map[int]bool{}
-	for i, w := range workers {
-		if allowed != nil && !allowed[i] || now-w.startedAt < crashWindow {
+	if in.quietWorkers == nil {
+		in.findQuietWorkers(now)
+	}
+	quiet, empty := within(in.quietWorkers, allowed), within(in.emptyWorkers, allowed)
+	if waited <= emptyWorkerWait && len(empty) > 0 {
+		return empty
+	}
+	return quiet
+}
+
+// findQuietWorkers finds the workers without a recent start, and those of them without runs.
+func (in *planInput) findQuietWorkers(now time.Duration) {
+	in.quietWorkers, in.emptyWorkers = map[int]bool{}, map[int]bool{}
+	for i, w := range in.workers {
+		if now-w.lastPlacementAt < crashWindow {
 			continue
 		}
-		quiet[i] = true
+		in.quietWorkers[i] = true
 		if len(w.allocs) == 0 {
-			empty[i] = true
+			in.emptyWorkers[i] = true
 		}
 	}
-	if waited <= emptyWorkerWait && len(empty) > 0 {
-		return empty
+}
+
+// within returns the workers that are allowed; nil allows all.
+func within(workers, allowed map[int]bool) map[int]bool {
+	if allowed == nil {
+		return workers
 	}
-	return quiet
+	out := map[int]bool{}
+	for i := range workers {
+		if allowed[i] {
+			out[i] = true
+		}
+	}
+	return out
 }
 
-// applyPlacements starts the placed groups. A suspected group starts alone: nothing else starts on its workers at about the same time.
+// applyPlacements starts the placed groups, in the order of their urgency. A suspected group starts apart from others: it is left out if anything else
+// starts on its workers in this cycle, and nothing else starts there after it.
 func (c *Core) applyPlacements(in *planInput, placements []placement.Placement, now time.Duration) {
-	closed := map[int]bool{}
+	closed, used := map[int]bool{}, map[int]bool{}
 	isClosed := func(w int) bool { return closed[w] }
+	isTaken := func(w int) bool { return closed[w] || used[w] }
 	for _, p := range placements {
 		g := in.requestGroups[p.Request][0]
-		if !g.suspected() || !c.mayStartSuspected(g, now) || slices.ContainsFunc(p.Workers, isClosed) {
+		if !g.suspected() {
+			c.applyPlacement(in, p, isClosed, now)
+			for _, w := range p.Workers {
+				used[w] = true
+			}
+			continue
+		}
+		apart := now-g.readySince <= separateStartWait
+		// Another suspected group may have started in this cycle.
+		if !c.mayStartSuspected(g, now) || apart && slices.ContainsFunc(p.Workers, isTaken) {
 			continue
 		}
+		g.startedApart, c.suspectedStartAt = apart, now
 		c.applyPlacement(in, p, isClosed, now)
-		c.suspectedStartAt = now
 		for _, w := range p.Workers {
-			closed[w], in.workers[w].closedUntil = true, now+2*crashWindow
-		}
-	}
-	for _, p := range placements {
-		if !in.requestGroups[p.Request][0].suspected() {
-			c.applyPlacement(in, p, isClosed, now)
+			closed[w] = true
 		}
 	}
 }
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -127,7 +127,7 @@
 }
 
 // Guards against jobs that fail because racks of workers crash again and again while they run.
-func TestCrashesOfManyWorkersAccuseNoTask(t *testing.T) {
+func TestCrashesOfManyWorkersFailNoJob(t *testing.T) {
 	forCrashCases(t, 20, func(t *testing.T, s *system) {
 		for n := range 30 {
 			s.submit(simpleJob(fmt.Sprintf("j%d", n), "normal", 1, 2, smallNeed))
@@ -204,40 +204,40 @@
 }
 
 // Guards against counts that depend on the order or the number of events: each run counts once, and only if it was the only possible cause.
-func TestAccusationsOfATask(t *testing.T) {
+func TestCrashesOfATaskAreCountedOnce(t *testing.T) {
 	g := &taskGroup{}
 	first, second := &task{group: g}, &task{group: g}
 	g.tasks = []*task{first, second}
-	first.accuse(3, false)
+	first.addCrash(3, false)
 	must.Eq(t, 3, g.suspectedRun)
 	must.Eq(t, 0, g.crashes())
-	first.accuse(4, true)
-	first.accuse(4, true)
-	second.accuse(5, true)
+	first.addCrash(4, true)
+	first.addCrash(4, true)
+	second.addCrash(5, true)
 	must.Eq(t, 1, g.crashes(), must.Sprint("two tasks, each with one crash"))
-	first.accuse(6, true)
+	first.addCrash(6, true)
 	must.Eq(t, 2, g.crashes())
-	first.acquit(6)
+	first.clearCrash(6)
 	must.Eq(t, []int{4}, first.crashedRuns)
 	first.withdrawCrash(4)
 	must.True(t, g.suspected())
-	first.acquit(3)
+	first.clearCrash(3)
 	must.False(t, g.suspected())
 }
 
 // Guards against a crash that counts for one of several tasks that may have caused it, or for none although only one was suspected before.
 func TestOnlyCauseOfACrash(t *testing.T) {
-	group := func(suspected bool) accusation {
+	group := func(suspected bool) crashSuspect {
 		g := &taskGroup{}
 		if suspected {
-			g.suspectedRun = 1
+			g.suspectedRun, g.startedApart = 1, true
 		}
-		return accusation{task: &task{group: g}}
+		return crashSuspect{task: &task{group: g}}
 	}
 	fresh, other, suspect, second := group(false), group(false), group(true), group(true)
 	must.Nil(t, onlyCause(nil))
-	must.Eq(t, fresh.task.group, onlyCause([]accusation{fresh}))
-	must.Nil(t, onlyCause([]accusation{fresh, other}))
-	must.True(t, suspect.task.group == onlyCause([]accusation{fresh, suspect, other}))
-	must.Nil(t, onlyCause([]accusation{suspect, second}))
+	must.Eq(t, fresh.task.group, onlyCause([]crashSuspect{fresh}))
+	must.Nil(t, onlyCause([]crashSuspect{fresh, other}))
+	must.True(t, suspect.task.group == onlyCause([]crashSuspect{fresh, suspect, other}))
+	must.Nil(t, onlyCause([]crashSuspect{suspect, second}))
 }
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -58,6 +58,7 @@
 	run            int   // number of the current or last run
 	failedRuns     []int // runs that failed
 	suspectedRun   int   // run from which the group is suspected to crash workers; 0 if it isn't
+	startedApart   bool  // nothing else starts on its workers at the time of the current run, since it is suspected
 	avoidedWorkers map[string]bool
 	readySince     time.Duration
 	waitLoggedAt   time.Duration // when its wait was last logged
@@ -156,16 +157,17 @@
 	drainingSince    time.Duration
 	allocs           map[runKey]*alloc
 
-	contacted      bool          // it has responded under the current epoch
-	unresponsive   bool          // its last renewal got no response
-	failedAt       time.Duration // when the first of its last renewals without a response failed
-	accusations    []accusation  // of runs that were starting at failedAt
-	takenDown      bool          // its machine was taken down: no run is left on it, and this incarnation doesn't return
-	endedProcess   process       // the newest process that is known to have ended, because another one responded at its address
-	lastClock      time.Duration // the worker's clock in its newest report
-	lastContact    time.Duration // when that report was received
-	leaseEnd       time.Duration // on the worker's clock; no run outlasts it
-	leasesExpireAt time.Duration // on the leader's clock, for a worker that never responded under the current epoch
+	contacted         bool           // it has responded under the current epoch
+	unresponsive      bool           // its last renewal got no response
+	failedAt          time.Duration  // when the first of its last renewals without a response failed
+	crashSuspects     []crashSuspect // of runs that were starting at failedAt
+	failedIncarnation int64          // incarnation at failedAt
+	takenDown         bool           // its machine was taken down: no run is left on it, and this incarnation doesn't return
+	endedProcess      process        // the newest process that is known to have ended, because another one responded at its address
+	lastClock         time.Duration  // the worker's clock in its newest report
+	lastContact       time.Duration  // when that report was received
+	leaseEnd          time.Duration  // on the worker's clock; no run outlasts it
+	leasesExpireAt    time.Duration  // on the leader's clock, for a worker that never responded under the current epoch
 
 	appliedEnd uint64 // number of the newest end that was applied
 	ackedEnd   uint64 // number of the newest end that may be acknowledged: the effects of all ends up to it are stored
@@ -177,6 +179,6 @@
 	health     health
 	fullUntil  time.Duration // no new starts before this time, because it refused one for insufficient capacity
 
-	startedAt   time.Duration // when a start was last decided
-	closedUntil time.Duration // no new starts before this time, because a suspected task starts there
+	lastPlacementAt time.Duration // when a run was last placed there
+	closedUntil     time.Duration // no new starts before this time, because a suspected task starts there
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -60,7 +60,7 @@
 	if w.mayHaveRuns() && w.leasesExpired(now) {
 		c.log.WithFields(logrus.Fields{"worker": w.ID, "runs": len(w.allocs), "silent_ms": (now - w.lastContact).Milliseconds()}).Warn("leases of a worker have expired")
 		if w.registered {
-			c.withdrawAccusations(w)
+			c.clearSuspects(w)
 		} else {
 			c.confirmCrash(w, now)
 		}
@@ -203,6 +203,8 @@
 	runGroups      []*taskGroup
 	requestGroups  [][]*taskGroup // task groups of each request
 	tasksPerWorker map[*stepState]map[int]int
+	quietWorkers   map[int]bool // see findQuietWorkers; nil until needed
+	emptyWorkers   map[int]bool
 }
 
 func (c *Core) planService(service string, ready []*taskGroup, guaranteed map[*job]bool, now time.Duration) {
@@ -306,7 +308,7 @@
 
 // usable reports whether a worker may get new work.
 func (c *Core) usable(w *worker, now time.Duration) bool {
-	return c.staysInService(w) && now >= w.fullUntil && now >= w.closedUntil && w.health.trusted(now)
+	return c.staysInService(w) && now >= w.fullUntil && !w.closedForSuspected(now) && w.health.trusted(now)
 }
 
 // staysInService reports whether a worker responds and isn't about to leave.
@@ -426,7 +428,7 @@
 	r.AvoidedWorkers = c.avoidedWorkers(in, g)
 	r.AllowedWorkers = c.allowedWorkers(in, g, now)
 	if g.suspected() {
-		r.AllowedWorkers = workersForSuspected(in.workers, r.AllowedWorkers, waited, now)
+		r.AllowedWorkers = in.workersForSuspected(r.AllowedWorkers, waited, now)
 	}
 	in.Requests = append(in.Requests, r)
 	in.requestGroups = append(in.requestGroups, groups)
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -149,7 +149,7 @@
 		}
 		c.setIncarnation(w, r.Incarnation, received)
 	}
-	c.withdrawAccusations(w)
+	c.checkSuspects(w, r.Running, received)
 	w.lastClock, w.lastContact, w.unresponsive = r.Clock, received, false
 	if !w.contacted {
 		// A lease that an earlier leader granted ends at most LeaseMax from now.
@@ -325,7 +325,6 @@
 // own report decides on those.
 func (c *Core) handleRestart(w *worker, incarnation int64, now time.Duration) {
 	c.log.WithFields(logrus.Fields{"worker": w.ID, "boot": incarnation, "old_boot": w.Incarnation}).Warn("worker restarted")
-	c.confirmCrash(w, now)
 	w.appliedEnd, w.ackedEnd, w.forgottenEnd, w.unackedEnds = 0, 0, 0, nil
 	w.contacted, w.leaseEnd, w.lastClock = false, 0, 0
 	w.leasesExpireAt = now + c.longestLease()
--- a/internal/dispatch/restore.go
+++ b/internal/dispatch/restore.go
@@ -140,7 +140,7 @@
 	for _, steps := range j.steps {
 		for _, s := range steps {
 			for _, g := range s.groups {
-				c.failExhausted(g, now)
+				c.failExhausted(g, 0, now) // the newest crash may not be certain
 			}
 		}
 	}
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -117,16 +117,16 @@
 		w.health.addFailure(now, 1)
 	}
 	c.putTasks(g)
-	c.failExhausted(g, now)
+	c.failExhausted(g, 0, now)
 }
 
-// failExhausted ends the job of a group as failed if the group has no attempt left or has crashed too many workers.
-func (c *Core) failExhausted(g *taskGroup, now time.Duration) {
+// failExhausted ends the job of a group as failed if the group has no attempt left or has certainly crashed too many workers.
+func (c *Core) failExhausted(g *taskGroup, crashes int, now time.Duration) {
 	noAttemptLeft := len(g.failedRuns) >= g.job.Queue.Attempts && !g.spec().LongRunning
-	if g.finished || g.job.ending() || !noAttemptLeft && g.crashes() < maxCrashes {
+	if g.finished || g.job.ending() || !noAttemptLeft && crashes < maxCrashes {
 		return
 	}
-	c.logTask(g.tasks[0]).WithFields(logrus.Fields{"attempts": len(g.failedRuns), "crashes": g.crashes()}).Warn("no attempt is left")
+	c.logTask(g.tasks[0]).WithFields(logrus.Fields{"attempts": len(g.failedRuns), "crashes": crashes}).Warn("no attempt is left")
 	c.finish(g.job, batch.Failed, now)
 }
 
@@ -182,7 +182,7 @@
 		w := workers[i]
 		t.phase, t.worker, t.incarnation, t.startedAt = assigned, w.ID, w.Incarnation, now
 		t.percent, t.startPercent, t.inherited, t.confirmed, t.stopConfirmed = 0, 0, false, false, false
-		w.startedAt = now
+		w.lastPlacementAt = now
 		w.allocs[t.key()] = &alloc{task: t, need: g.spec().Need}
 		c.rows.put(t.row())
 		run := g.run
@@ -211,6 +211,9 @@
 		return
 	}
 	t.phase, t.startedAt, t.percentChangedAt = ordered, now, now
+	if t.group.suspected() {
+		w.closedUntil = now + crashWindow
+	}
 	lease := w.minClock(now) + startLease
 	w.leaseEnd = max(w.leaseEnd, lease)
 	c.logTask(t).WithFields(logrus.Fields{"waited_ms": (now - t.group.readySince).Milliseconds(), "resume": t.checkpoint != "",
