Sort the submission of a job before all its other log lines

Cause: explain sorted lines of one process by their numbers. A host that leads may read the stored job and log "job queued" before the caller's response is logged. Change: submissions come first whatever their process; repetitions of one keep their time. Evidence: TestAcceptanceComesBeforeTheWorkOfItsOwnProcess fails on the code before.

--- a/internal/logread/logread.go
+++ b/internal/logread/logread.go
@@ -89,23 +89,24 @@
 	return i
 }
 
-// stage returns 0 for the acceptance of a job and 1 for all other lines. A job is accepted before a leader schedules it.
+// stage returns 0 for the submission of a job and 1 for all other lines. A job is stored before a leader schedules it, but the host that accepts it may log
+// that later. Repetitions of a submission come at any time.
 func (l Line) stage() int {
-	if l.Epoch == 0 && l.Fields["action"] == "submit" {
+	if reason := l.Fields["reason"]; l.Epoch == 0 && l.Fields["action"] == "submit" && reason != "already_known" && reason != "already_stored" {
 		return 0
 	}
 	return 1
 }
 
-// Order sorts lines causally where the order is known, since the clocks of hosts may differ: lines of one process by their numbers, acceptance before
-// the lines of leaders, and leaders by epoch. Other lines are sorted by the time of day.
+// Order sorts lines causally where the order is known, since the clocks of hosts may differ: the submission before all others, lines of one process by
+// their numbers, and leaders by epoch. Other lines are sorted by the time of day.
 func Order(lines []Line) {
 	slices.SortStableFunc(lines, func(a, b Line) int {
 		switch {
-		case a.Process == b.Process && a.Process != "":
-			return cmp.Compare(a.Number, b.Number)
 		case a.stage() != b.stage():
 			return cmp.Compare(a.stage(), b.stage())
+		case a.Process == b.Process && a.Process != "":
+			return cmp.Compare(a.Number, b.Number)
 		case a.Epoch > 0 && b.Epoch > 0 && a.Epoch != b.Epoch:
 			return cmp.Compare(a.Epoch, b.Epoch)
 		}
--- a/internal/logread/logread_test.go
+++ b/internal/logread/logread_test.go
@@ -33,3 +33,14 @@
 	must.Eq(t, []string{"request accepted", "job queued", "starting run", "run over"}, got)
 	must.StrContains(t, Text(lines), "epoch 2 run over outcome=done")
 }
+
+// Guards against an acceptance that is shown after the start of the job because the leader is the same process and read the stored job before the caller
+// got its response.
+func TestAcceptanceComesBeforeTheWorkOfItsOwnProcess(t *testing.T) {
+	lines, _, err := Read(strings.NewReader(`{"time":"2026-01-01T10:00:00.000Z","host":"a","process":"p","n":4,"msg":"job queued","epoch":1,"job":"j"}
+{"time":"2026-01-01T10:00:00.001Z","host":"a","process":"p","n":5,"msg":"request accepted","action":"submit","reason":"stored","job":"j"}
+{"time":"2026-01-01T10:00:00.002Z","host":"a","process":"p","n":6,"msg":"request accepted","action":"submit","reason":"already_known","job":"j"}`), "j", nil)
+	must.NoError(t, err)
+	Order(lines)
+	must.Eq(t, []int64{5, 4, 6}, []int64{lines[0].Number, lines[1].Number, lines[2].Number})
+}
