--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -3,47 +3,42 @@
 import (
 	"cmp"
 	"slices"
-
-	"samphirewell/internal/batch"
 )
 
-// capacityFunc selects which capacity of a worker a fit is computed against.
-type capacityFunc func(w *Worker) batch.Resources
-
-func freeCapacity(w *Worker) batch.Resources           { return w.Free }
-func futureFreeCapacity(w *Worker) batch.Resources     { return w.FutureFree }
-func eventuallyFreeCapacity(w *Worker) batch.Resources { return w.EventuallyFree }
+// suspectedRackPenalty is the capacity, in core equivalents, that counts as left over on a rack for each unit of health penalty of its workers. It exceeds
+// the capacity of a rack.
+const suspectedRackPenalty = 1000
 
 // fit returns a worker for each of count tasks. A gang gets all or none; of other requests as many tasks are placed as fit.
-func (p *planner) fit(r *Request, count int, capacityOf capacityFunc) []int {
-	if count == 0 {
+func (p *planner) fit(r *Request, count int, kind capacityKind) []int {
+	if count == 0 || p.slots(r, kind).total < r.minOf(count) {
 		return nil
 	}
 	if r.Gang {
-		if got := p.fitByRack(r, count, capacityOf); len(got) == count {
+		if got := p.fitByRack(r, count, kind); len(got) == count {
 			return got
 		}
 		return nil
 	}
-	return p.fitByRack(r, count, capacityOf)
+	return p.fitByRack(r, count, kind)
 }
 
 // fitByRack prefers the rack of the data, then a single rack. It uses several racks only if that is allowed, or if no single rack is large enough.
-func (p *planner) fitByRack(r *Request, count int, capacityOf capacityFunc) []int {
+func (p *planner) fitByRack(r *Request, count int, kind capacityKind) []int {
 	if r.Step.DataRack != "" {
-		got := p.assign(r, p.racks[r.Step.DataRack], count, capacityOf)
+		got := p.assign(r, p.dataRack(r), count, kind)
 		if len(got) == count || p.restrictedToDataRack(r) || len(got) > 0 && !r.Gang && !r.MaySpanRacks {
 			return got
 		}
 	}
 	if !r.Step.SameRack {
-		return p.assign(r, p.allWorkers, count, capacityOf)
+		return p.assign(r, p.allWorkers, count, kind)
 	}
-	if rack, ok := p.bestRack(r, count, capacityOf); ok {
-		return p.assign(r, rack, count, capacityOf)
+	if rack, ok := p.bestRack(r, count, kind); ok {
+		return p.assign(r, rack, count, kind)
 	}
 	if p.mayLeaveRack(r) || !p.fitsEmptyRack(r) {
-		return p.assign(r, p.allWorkers, count, capacityOf)
+		return p.assign(r, p.allWorkers, count, kind)
 	}
 	return nil
 }
@@ -61,22 +56,13 @@
 // mayLeaveRack reports whether the request may run outside the single rack or the data's rack that its step prefers, where it runs slower.
 func (p *planner) mayLeaveRack(r *Request) bool { return r.MaySpanRacks || p.preferencesExpired(r) }
 
-// fitsFreeWorkers reports whether count tasks fit on the free capacity of all workers.
-func (p *planner) fitsFreeWorkers(r *Request, count int) bool {
-	slots := 0
-	for _, w := range p.allWorkers {
-		slots += p.fitCount(r, w, count, freeCapacity)
-	}
-	return slots >= count
-}
-
 // restrictedToDataRack reports whether the request may run only on the rack of its data. A gang that would not fit even if that rack ran nothing but its
 // long-running tasks may run elsewhere.
 func (p *planner) restrictedToDataRack(r *Request) bool {
 	if r.Step.DataRack == "" || p.mayLeaveRack(r) {
 		return false
 	}
-	return p.fitsIfEmpty(r, p.racks[r.Step.DataRack], r.minTasks())
+	return p.fitsOn(r, p.dataRack(r), r.minTasks(), eventuallyFreeCapacity)
 }
 
 // needsAvoidedWorkers reports whether the request can't start on the other workers, even if these ran nothing but their long-running tasks, or should
@@ -85,85 +71,69 @@
 	if len(r.AvoidedWorkers) == 0 {
 		return false
 	}
-	return !p.fitsIfEmpty(r, p.allWorkers, r.minTasks()) || p.preferencesExpired(r) && !p.fitsFreeWorkers(r, r.minTasks())
+	return !p.fitsAnywhere(r, r.minTasks(), eventuallyFreeCapacity) || p.preferencesExpired(r) && !p.fitsAnywhere(r, r.minTasks(), freeCapacity)
 }
 
 // minTasks returns how many tasks of the request have to start at the same time.
-func (r *Request) minTasks() int {
+func (r *Request) minTasks() int { return r.minOf(r.Count) }
+
+// minOf returns how many of count tasks have to start at the same time.
+func (r *Request) minOf(count int) int {
 	if r.Gang {
-		return r.Count
+		return count
 	}
 	return 1
 }
 
 // bestRack returns the rack on which all tasks fit and whose suitable workers have the least capacity. Racks without suspected workers come first.
-func (p *planner) bestRack(r *Request, count int, capacityOf capacityFunc) ([]int, bool) {
-	best, bestLeftover := "", 0.0
-	for _, name := range p.rackNames {
-		slots, leftover, penalty := 0, 0.0, 0.0
-		for _, w := range p.racks[name] {
-			n := p.fitCount(r, w, count, capacityOf)
-			slots += n
-			if n > 0 {
-				leftover += capacityOf(&p.workers[w]).CoreEquivalents()
+func (p *planner) bestRack(r *Request, count int, kind capacityKind) ([]int, bool) {
+	var best []int
+	bestLeftover := 0.0
+	slots := p.slots(r, kind)
+	for rack, workers := range p.racks {
+		if slots.byRack[rack] < count || r.restricted() && !p.fitsOn(r, workers, count, kind) {
+			continue
+		}
+		leftover, penalty := 0.0, 0.0
+		for _, w := range workers {
+			if p.fitCount(r, w, count, kind) > 0 {
+				leftover += kind.of(&p.workers[w]).CoreEquivalents()
 				penalty += p.workers[w].HealthPenalty
 			}
 		}
-		leftover += penalty * 1000
-		if slots >= count && (best == "" || leftover < bestLeftover) {
-			best, bestLeftover = name, leftover
+		leftover += penalty * suspectedRackPenalty
+		if best == nil || leftover < bestLeftover {
+			best, bestLeftover = workers, leftover
 		}
 	}
-	return p.racks[best], best != ""
+	return best, best != nil
 }
 
 // fitsEmptyRack reports whether the whole request would fit on some rack if that ran nothing but its long-running tasks.
 func (p *planner) fitsEmptyRack(r *Request) bool {
-	for _, name := range p.rackNames {
-		if p.fitsIfEmpty(r, p.racks[name], r.Count) {
+	for rack := range p.racks {
+		if p.fitsOnRack(r, rack, r.Count, eventuallyFreeCapacity) {
 			return true
 		}
 	}
 	return false
 }
 
-// fitsIfEmpty reports whether count tasks would fit on the workers if these ran nothing but their long-running tasks.
-func (p *planner) fitsIfEmpty(r *Request, workers []int, count int) bool {
-	slots := 0
-	for _, w := range workers {
-		slots += p.fitCount(r, w, count, eventuallyFreeCapacity)
-	}
-	return slots >= count
-}
-
-// fitCount returns how many tasks of the request fit on a worker, at most limit. It is 0 on a worker that must not run them.
-func (p *planner) fitCount(r *Request, w, limit int, capacityOf capacityFunc) int {
-	worker := &p.workers[w]
-	if !worker.Usable || r.AvoidedWorkers[w] || !hasLabel(worker, r.Step.Requires) || r.Step.BestEffort && worker.LatencySensitive ||
-		r.Step.LatencyTarget > 0 && worker.BestEffort || r.AllowedWorkers != nil && !r.AllowedWorkers[w] {
-		return 0
-	}
-	if r.Step.MaxPerWorker > 0 {
-		limit = min(limit, r.Step.MaxPerWorker-r.TasksPerWorker[w])
-	}
-	return max(0, capacityOf(worker).FitCount(r.Step.Need, limit))
-}
-
 func hasLabel(w *Worker, label string) bool {
 	return label == "" || slices.Contains(w.Labels, label)
 }
 
 // assign places up to count tasks, best fit first: the workers with the least capacity left over are filled first, so that whole workers stay free.
 // Workers whose health is suspected come last.
-func (p *planner) assign(r *Request, workers []int, count int, capacityOf capacityFunc) []int {
+func (p *planner) assign(r *Request, workers []int, count int, kind capacityKind) []int {
 	type candidate struct {
 		worker, slots int
 		leftover      float64
 	}
-	candidates := make([]candidate, 0, len(workers))
+	var candidates []candidate
 	for _, w := range workers {
-		if n := p.fitCount(r, w, count, capacityOf); n > 0 {
-			leftover := capacityOf(&p.workers[w]).CoreEquivalents() - float64(n)*r.Step.Need.CoreEquivalents()
+		if n := p.fitCount(r, w, count, kind); n > 0 {
+			leftover := kind.of(&p.workers[w]).CoreEquivalents() - float64(n)*r.Step.Need.CoreEquivalents()
 			candidates = append(candidates, candidate{w, n, leftover})
 		}
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -83,6 +83,8 @@
 	Interrupted      bool         // has run before
 	JobIdle          bool         // no task of its job runs or is about to start
 	WaitTime         time.Duration
+
+	index *slotIndex // of the step's shape; set by the planner
 }
 
 // Placement assigns tasks of a request to workers, one entry a task.
@@ -123,10 +125,14 @@
 	workers            []Worker
 	runs               []Run
 	requests           []Request
-	racks              map[string][]int
-	rackNames          []string // in order of first appearance
+	racks              [][]int        // workers of each rack; racks are in order of first appearance
+	rackByName         map[string]int // index into racks
+	rackOf             []int          // rack of each worker
 	allWorkers         []int
-	runsByWorker       [][]int // runs on each worker, cheapest first
+	slotIndexes        map[shape]*slotIndex
+	slotIndexList      []*slotIndex
+	changes            []int // changes of each worker's free or future free capacity in this cycle
+	victims            victimIndex
 	preempted          []bool
 	freeBeyondHeadroom float64       // free capacity beyond the headroom, core equivalents
 	ample              bool          // capacity is ample
@@ -135,15 +141,11 @@
 }
 
 func newPlanner(in Input) *planner {
-	p := &planner{workers: in.Workers, runs: in.Runs, requests: in.Requests, racks: map[string][]int{}, preempted: make([]bool, len(in.Runs))}
+	p := &planner{workers: in.Workers, runs: in.Runs, requests: in.Requests, preempted: make([]bool, len(in.Runs))}
+	p.indexWorkers()
 	p.ample, p.ampleFor = HasAmpleCapacity(in.Workers), in.AmpleFor
-	for i, w := range in.Workers {
-		if _, ok := p.racks[w.Rack]; !ok {
-			p.rackNames = append(p.rackNames, w.Rack)
-		}
-		p.racks[w.Rack] = append(p.racks[w.Rack], i)
-		p.allWorkers = append(p.allWorkers, i)
-		if w.Usable {
+	for i := range p.workers {
+		if w := &p.workers[i]; w.Usable {
 			p.freeBeyondHeadroom += max(0, w.Free.CoreEquivalents())
 		}
 	}
@@ -151,6 +153,31 @@
 	return p
 }
 
+// indexWorkers lists the workers by rack.
+func (p *planner) indexWorkers() {
+	p.rackByName, p.slotIndexes = map[string]int{}, map[shape]*slotIndex{}
+	p.rackOf, p.allWorkers, p.changes = make([]int, len(p.workers)), make([]int, len(p.workers)), make([]int, len(p.workers))
+	for i := range p.workers {
+		rack, ok := p.rackByName[p.workers[i].Rack]
+		if !ok {
+			rack = len(p.racks)
+			p.rackByName[p.workers[i].Rack] = rack
+			p.racks = append(p.racks, nil)
+		}
+		p.rackOf[i], p.allWorkers[i] = rack, i
+		p.racks[rack] = append(p.racks[rack], i)
+	}
+}
+
+// dataRack returns the workers on the rack of the request's data.
+func (p *planner) dataRack(r *Request) []int {
+	rack, ok := p.rackByName[r.Step.DataRack]
+	if !ok {
+		return nil
+	}
+	return p.racks[rack]
+}
+
 // planRequest places the tasks of a request that fit, and preempts runs or reserves workers for the rest.
 func (p *planner) planRequest(i int) {
 	r := &p.requests[i]
@@ -216,6 +243,7 @@
 	for _, w := range workers {
 		p.workers[w].Free = p.workers[w].Free.Minus(r.Step.Need)
 		p.workers[w].FutureFree = p.workers[w].FutureFree.Minus(r.Step.Need)
+		p.updateSlots(w)
 		if r.Step.MaxPerWorker > 0 {
 			r.TasksPerWorker[w]++
 		}
@@ -231,5 +259,6 @@
 	p.decision.Preemptors = append(p.decision.Preemptors, preemptor)
 	for _, part := range p.runs[run].Parts {
 		p.workers[part.Worker].FutureFree = p.workers[part.Worker].FutureFree.Plus(part.Need)
+		p.updateSlots(part.Worker)
 	}
 }
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -21,6 +21,7 @@
 	for _, w := range workers {
 		p.workers[w].Free = batch.Resources{MilliCores: -1, MemoryMB: -1, Accelerators: -1}
 		p.workers[w].FutureFree = p.workers[w].Free
+		p.updateSlots(w)
 	}
 }
 
@@ -30,6 +31,9 @@
 	var best []int
 	bestFree := -1.0
 	for _, workerSet := range p.candidateWorkerSets(r) {
+		if !p.fitsOn(r, workerSet, r.Count, eventuallyFreeCapacity) {
+			continue
+		}
 		chosen, futureFree := p.mostFree(r, workerSet)
 		if chosen != nil && futureFree > bestFree {
 			best, bestFree = chosen, futureFree
@@ -41,14 +45,15 @@
 // mostFree selects some of the workers, those with the most capacity in FutureFree first, until the request will fit on them. It also returns the
 // mean FutureFree of these workers, in core equivalents.
 func (p *planner) mostFree(r *Request, workers []int) ([]int, float64) {
-	order := slices.Clone(workers)
-	slices.SortStableFunc(order, func(a, b int) int {
-		return -cmp.Compare(p.workers[a].FutureFree.CoreEquivalents(), p.workers[b].FutureFree.CoreEquivalents())
-	})
+	order, free := slices.Clone(workers), make(map[int]float64, len(workers))
+	for _, w := range workers {
+		free[w] = p.workers[w].FutureFree.CoreEquivalents()
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return -cmp.Compare(free[a], free[b]) })
 	slots, futureFree := 0, 0.0
 	for i, w := range order {
 		slots += p.fitCount(r, w, r.Count, eventuallyFreeCapacity)
-		futureFree += p.workers[w].FutureFree.CoreEquivalents()
+		futureFree += free[w]
 		if slots >= r.Count {
 			return order[:i+1], futureFree / float64(i+1)
 		}
--- a/internal/placement/room.go
+++ b/internal/placement/room.go
@@ -10,10 +10,10 @@
 
 // RoomFor returns how many tasks of a request fit on the free capacity of the workers.
 func RoomFor(r *Request, workers []Worker) Room {
-	p := &planner{workers: workers}
+	shape := shapeOf(r.Step)
 	fleet, racks := 0, map[string]int{}
 	for w := range workers {
-		n := p.fitCount(r, w, r.Count, freeCapacity)
+		n := r.limitFit(w, min(r.Count, shape.fitCount(&workers[w], freeCapacity)))
 		fleet += n
 		racks[workers[w].Rack] += n
 	}
