Depose a leader only on clear evidence, and let few hosts probe it

Cause: every host probed a leader whose row was 0.5 s old, and one probe without a response made it claim. On the large site 146 hosts probed a busy leader every 0.3 s; 90 of 213 logged probes timed out, and leadership changed at 10.8, 15.4 and 30.5 s although no host had failed. Change: what a host concludes is one pure function (lead.Evidence.Judge, table test): a leader that wrote meanwhile is alive, a refused connection or another epoch ends it at once, a time-out only if a second probe times out too. Hosts probe in groups of three, those with most processor time first, 200 ms apart.

--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -230,6 +230,9 @@
 		if age := h.statesFollower.Age(now); age < time.Duration(1<<62) {
 			h.leaderWatch.RecordRead(now.Add(-age))
 		}
+		if leader, known := h.leaderWatch.Leader(); known {
+			h.leaderWatch.SetRank(h.hosts.rank(h.options.HostID, h.options.Processors, leader.Epoch))
+		}
 		if row, version, due := h.leaderWatch.ProbeDue(now); due {
 			group.Go(func() { h.probeLeader(ctx, row, version) })
 		}
--- a/internal/batchhost/hosts.go
+++ b/internal/batchhost/hosts.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
+	"hash/fnv"
 	"slices"
 	"strings"
 	"sync"
@@ -31,6 +33,8 @@
 type hostRow struct {
 	Address     string `json:"address"`
 	Incarnation string `json:"boot"` // identifies the process among all that ran on the host
+	// Processors is the processor time that the host may use, in cores; 0 in the rows of earlier versions.
+	Processors float64 `json:"cores,omitempty"`
 }
 
 // hostEntry is the newest row of a host.
@@ -94,6 +98,30 @@
 	return out
 }
 
+// rank returns the position of a host among all listed ones in the order in which they probe the leader of an epoch: hosts with more processor time come
+// first, because they may claim leadership at once. Among equal hosts the order differs with each epoch.
+func (l *hostList) rank(self string, processors float64, epoch uint64) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	own, n := probeOrder(self, epoch), 0
+	for id, e := range l.byID {
+		switch {
+		case id == self:
+		case e.row.Processors > processors, e.row.Processors == processors && probeOrder(id, epoch) < own:
+			n++
+		}
+	}
+	return n
+}
+
+// probeOrder returns a number that orders equal hosts.
+func probeOrder(id string, epoch uint64) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, epoch))
+	return h.Sum64()
+}
+
 // stale returns the ids of the hosts whose rows are older than staleHostAge.
 func (l *hostList) stale(now time.Time) []string {
 	l.mu.Lock()
@@ -114,7 +142,7 @@
 
 // register writes the row of this host every hostRowInterval until ctx ends.
 func (h *Host) register(ctx context.Context) {
-	value, err := json.Marshal(hostRow{Address: h.options.Address, Incarnation: h.options.Incarnation})
+	value, err := json.Marshal(hostRow{Address: h.options.Address, Incarnation: h.options.Incarnation, Processors: h.options.Processors})
 	if err != nil {
 		panic(errors.Wrap(err, "encoding of a host row failed"))
 	}
--- a/internal/batchhost/hosts_test.go
+++ b/internal/batchhost/hosts_test.go
@@ -28,6 +28,24 @@
 	must.Error(t, l.observe([]rowstore.Row{hostRowOf("d", "")}, false, now))
 }
 
+// Guards against two hosts that both take themselves for the first to probe a leader, and against probes of hosts that may claim leadership late only.
+func TestHostsAgreeOnTheOrderOfProbes(t *testing.T) {
+	var l hostList
+	row := func(id, cores string) rowstore.Row {
+		return rowstore.Row{Key: hostKey(id), Value: []byte(`{"address":"1:1","boot":"b","cores":` + cores + `}`)}
+	}
+	must.NoError(t, l.observe([]rowstore.Row{row("a", "0.2"), row("b", "0.8"), row("c", "0.2"), row("d", "0.8"), row("e", "0.2")}, true, time.Unix(1000, 0)))
+	for epoch := range uint64(20) {
+		ranks := map[int]string{}
+		for id, cores := range map[string]float64{"a": 0.2, "b": 0.8, "c": 0.2, "d": 0.8, "e": 0.2} {
+			ranks[l.rank(id, cores, epoch)] = id
+		}
+		must.MapLen(t, 5, ranks)
+		must.SliceContains(t, []string{"b", "d"}, ranks[0])
+		must.SliceContains(t, []string{"b", "d"}, ranks[1])
+	}
+}
+
 // Guards against a list that keeps every host that ever ran, and against a listing of the whole table that changes the age of rows: hosts that still
 // write would be removed, or hosts that stopped would be kept.
 func TestHostListForgetsHostsThatStoppedWriting(t *testing.T) {
--- a/internal/batchhost/leader.go
+++ b/internal/batchhost/leader.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"samphirewell/internal/api"
@@ -13,14 +14,11 @@
 )
 
 const (
-	// leaderProbeTimeout bounds the liveness probe of the leader; it allows for many round trips between regions.
-	leaderProbeTimeout = 150 * time.Millisecond
+	// leaderProbeTimeout bounds one liveness probe of the leader; it allows for several round trips between regions.
+	leaderProbeTimeout = 120 * time.Millisecond
 	// stateQueryTimeout bounds the query of a job's state; after it, the copy of the stored states is used. A leader waits up to 300 ms for the end of
 	// a job to be stored.
 	stateQueryTimeout = 400 * time.Millisecond
-	// maxRefusedWriteAge is the age of the last write above which a leader whose writes the store refuses counts as lost, if the store serves the
-	// requesting host.
-	maxRefusedWriteAge = 600 * time.Millisecond
 )
 
 // Register adds the methods that other hosts call.
@@ -75,23 +73,38 @@
 	return api.LeaderStatus{Leading: true, Epoch: int(epoch), WriteAgeMS: int(age.Milliseconds()), Refused: refused}
 }
 
-// probeLeader sends a request to a leader whose row hasn't changed for some time. It marks the leader as lost if it doesn't respond, no longer leads,
-// or has its writes refused by the store that serves this host.
+// probeLeader probes a leader whose row hasn't changed for some time until the verdict on it is clear, and marks it as lost if it is.
 func (h *Host) probeLeader(ctx context.Context, row lead.Row, version uint64) {
-	ctx, cancel := context.WithTimeout(ctx, leaderProbeTimeout)
+	var e lead.Evidence
+	for verdict := lead.Unclear; verdict == lead.Unclear && ctx.Err() == nil; {
+		h.probeOnce(ctx, row, &e)
+		e.RowChanged = h.leaderWatch.Version() != version
+		verdict = e.Judge()
+		h.options.Log.WithFields(logrus.Fields{"leader": row.Host, "epoch": row.Epoch, "answered": e.Answered, "leading": e.Leading, "connection_refused": e.Refused,
+			"unanswered": e.Unanswered, "write_age_ms": e.WriteAge.Milliseconds(), "refused": e.StoreRefusing, "wrote_meanwhile": e.RowChanged,
+			"lost": verdict == lead.Lost}).Info("asked a silent leader")
+		if verdict == lead.Lost {
+			h.leaderWatch.MarkLost(version, time.Now())
+		}
+	}
+}
+
+// probeOnce sends a probe to the leader and records its result. It takes leaderProbeTimeout if there is no response.
+func (h *Host) probeOnce(ctx context.Context, row lead.Row, e *lead.Evidence) {
+	probeCtx, cancel := context.WithTimeout(ctx, leaderProbeTimeout)
 	defer cancel()
 	var s api.LeaderStatus
-	err := h.options.Peers.Call(ctx, row.Address, peer.MethodLeader, api.LeaderQuery{Epoch: int(row.Epoch)}, &s)
-	lost := err != nil || !s.Leading || uint64(s.Epoch) != row.Epoch || s.Refused && time.Duration(s.WriteAgeMS)*time.Millisecond > maxRefusedWriteAge
-	entry := h.options.Log.WithFields(logrus.Fields{"leader": row.Host, "epoch": row.Epoch, "leading": s.Leading, "write_age_ms": s.WriteAgeMS,
-		"refused": s.Refused, "lost": lost})
+	err := h.options.Peers.Call(probeCtx, row.Address, peer.MethodLeader, api.LeaderQuery{Epoch: int(row.Epoch)}, &s)
 	if err != nil {
-		entry = entry.WithError(err)
-	}
-	entry.Info("asked a silent leader")
-	if lost {
-		h.leaderWatch.MarkLost(version, time.Now())
+		e.Unanswered++
+		e.Refused = errors.Is(err, peer.ErrRefused)
+		if !e.Refused {
+			<-probeCtx.Done() // a call that fails early, such as during the pause before another attempt to connect, is not a probe of its own
+		}
+		return
 	}
+	*e = lead.Evidence{Answered: true, Leading: s.Leading, SameEpoch: uint64(s.Epoch) == row.Epoch, StoreRefusing: s.Refused,
+		WriteAge: time.Duration(s.WriteAgeMS) * time.Millisecond}
 }
 
 // LeaderAddress returns the address of the current leader, or an empty string if there is none or this host leads.
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -91,6 +92,27 @@
 	_ = s
 }
 
+// probedLeader is a leader that has stopped writing.
+type probedLeader struct {
+	t     *testing.T
+	store rowstore.Store
+	start time.Time // when its last write was read
+}
+
+func newProbedLeader(t *testing.T) probedLeader {
+	s := memstore.New()
+	claim(t, s, "a")
+	return probedLeader{t, s, time.Unix(1000, 0)}
+}
+
+// watch returns the watch of the host with a rank.
+func (p probedLeader) watch(rank int) *Watch {
+	w := NewWatch(key, fmt.Sprint("host-", rank), 1)
+	w.SetRank(rank)
+	observeStored(w, nil, p.t, p.store, p.start)
+	return w
+}
+
 // Guards against a claim while the leader may be alive, and against a late claim or none after the leader was lost.
 func TestClaimFollowsTheLossOfTheLeader(t *testing.T) {
 	store := memstore.New()
--- a/internal/lead/watch.go
+++ b/internal/lead/watch.go
@@ -16,6 +16,11 @@
 	suspectAfter = 500 * time.Millisecond
 	// probeInterval is the shortest time between two probes of the leader.
 	probeInterval = 300 * time.Millisecond
+	// probersPerGroup is the number of hosts that probe a suspected leader first; as many others join them after each further probeGroupDelay without a
+	// change of the leader row. A leader that is alive but slow then has few probes to answer, and one that can't be reached by the first hosts is still
+	// found.
+	probersPerGroup = 3
+	probeGroupDelay = 200 * time.Millisecond
 	// claimRetryPause is the time after a failed claim in which no other claim is based on the same version of the row: two reads of the table.
 	claimRetryPause = 600 * time.Millisecond
 	// staleAfter is the time without a change of the leader row after which a leader that responds to probes is also considered lost. On a store that is
@@ -34,6 +39,7 @@
 	key                rowstore.Key
 	jitter             time.Duration // delay of this host's probes and claims
 	processors         float64       // of this host, in cores
+	rank               int           // position of this host in the order in which hosts begin to probe
 	row                rowstore.Row
 	tableRead          bool      // the table was read at least once
 	lastChange         time.Time // when the row last changed
@@ -54,6 +60,20 @@
 	return &Watch{key: key, jitter: jitter, processors: processors}
 }
 
+// SetRank sets the position of this host, from 0, in the order in which hosts begin to probe a leader.
+func (w *Watch) SetRank(rank int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rank = rank
+}
+
+// Version returns the version of the newest known leader row.
+func (w *Watch) Version() uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.row.Version
+}
+
 // Observe applies rows that were read from the table; complete means that they are its whole contents.
 func (w *Watch) Observe(rows []rowstore.Row, complete bool, now time.Time) {
 	w.mu.Lock()
@@ -84,7 +104,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.row.Version == 0 || w.lostVersion == w.row.Version || now.Sub(w.lastRead) > staleAfter || now.Sub(w.lastProbe) < probeInterval ||
-		now.Sub(w.lastChange) < suspectAfter+w.jitter {
+		now.Sub(w.lastChange) < suspectAfter+w.jitter+time.Duration(w.rank/probersPerGroup)*probeGroupDelay {
 		return Row{}, 0, false
 	}
 	r, err := Decode(w.row.Value)
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -56,6 +56,7 @@
 var (
 	ErrVersion     = errors.New("peer speaks another protocol version")
 	ErrNotSent     = errors.New("request was not sent")
+	ErrRefused     = errors.Wrap(ErrNotSent, "no process listens at the address") // a case of ErrNotSent
 	ErrUncertain   = errors.New("peer did not answer; the request may have taken effect")
 	ErrRejected    = errors.New("peer answered with an error")
 	ErrTooLarge    = errors.New("message exceeds the size limit")
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -155,7 +156,10 @@
 // handshake dials the peer and exchanges hello.
 func (l *link) handshake(ctx context.Context) (*jsonrpc2.Conn, error) {
 	raw, err := l.pool.dial(ctx, "tcp", l.address)
-	if err != nil {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, errors.Wrapf(ErrRefused, "dial %s", l.address)
+	case err != nil:
 		return nil, errors.Wrapf(ErrNotSent, "dial %s: %v", l.address, err)
 	}
 	conn := jsonrpc2.NewConn(context.Background(), newStream(raw, l.pool.stats), rejectRequests{}, jsonrpc2.SetLogger(discardLogger))
