Use a worker that restarts under its id with an earlier start time

Cause: a report with an earlier start time was always taken for a late response of an earlier incarnation, and an entry with one was ignored. After the time of day had gone back, the worker was never used again and its runs stayed. Change: a report that was requested after the known incarnation was last confirmed comes from a newer process, whatever its start time. An entry with an earlier start time counts once the known incarnation is silent and its leases have expired. Negative parts of the keys of stored rows are refused; they would have ended the process. Evidence: TestWorkerThatRestartsWithAnEarlierStartTimeIsUsed and TestEntryWithAnEarlierStartTimeReplacesALostIncarnation failed before.

--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -90,3 +90,40 @@
 	must.True(t, due)
 	must.Eq(t, 0, renewal.AckedEnds)
 }
+
+// Guards against a worker that is never used again because it restarted with an earlier start time, after its time of day went back: its reports were ignored
+// as those of an earlier incarnation. A report that was requested before the newest known incarnation responded is still ignored.
+func TestWorkerThatRestartsWithAnEarlierStartTimeIsUsed(t *testing.T) {
+	c := New(1, testPolicy(), testBounds, discardLog())
+	c.SetWorkers([]batch.Worker{incarnationOf(5, "a")}, 0)
+	c.OnReport("w", WorkerReport{Incarnation: 5, Clock: time.Minute}, 0, 10)
+	c.AddJob(simpleJob("j", "normal", 1, 1, smallNeed), 10)
+	start := startsAfterPlan(c, 10)[0]
+	c.OnStart(start, Delivery{Result: Accepted, Response: Accepted}, 11)
+	running := WorkerReport{Incarnation: 5, Clock: time.Minute, Running: []RunReport{{Task: start.Task, Run: 1}}}
+	c.OnReport("w", running, 12, 13)
+
+	c.OnReport("w", WorkerReport{Incarnation: 4, Clock: time.Millisecond}, 11, 14)
+	must.MapLen(t, 1, c.workers["w"].allocs, must.Sprint("a late response of an earlier incarnation"))
+
+	c.OnReport("w", WorkerReport{Incarnation: 4, Clock: time.Millisecond}, 15, 16)
+	c.OnReport("w", WorkerReport{Incarnation: 4, Clock: time.Millisecond}, 17, 18)
+	must.MapLen(t, 0, c.workers["w"].allocs, must.Sprint("the run ended with its incarnation"))
+	c.SetWorkers([]batch.Worker{incarnationOf(4, "a")}, 20)
+	must.SliceLen(t, 1, startsAfterPlan(c, time.Second), must.Sprint("the task starts again"))
+}
+
+// Guards against a worker that is never used again because its entry with an earlier start time and another address is ignored.
+func TestEntryWithAnEarlierStartTimeReplacesALostIncarnation(t *testing.T) {
+	c := New(1, testPolicy(), testBounds, discardLog())
+	c.SetWorkers([]batch.Worker{incarnationOf(5, "a")}, 0)
+	c.OnReport("w", WorkerReport{Incarnation: 5, Clock: time.Minute}, 0, 10)
+	c.OnRenewalFailed("w", 20)
+	moved := incarnationOf(4, "a")
+	moved.Address = "elsewhere:1"
+	c.SetWorkers([]batch.Worker{moved}, 30)
+	must.Eq(t, "w:1", c.workers["w"].Address, must.Sprint("the known incarnation may still run"))
+	later := 30 * time.Second
+	c.SetWorkers([]batch.Worker{moved}, later)
+	must.Eq(t, "elsewhere:1", c.workers["w"].Address)
+}
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -194,8 +194,9 @@
 
 // worker is the state of a worker.
 type worker struct {
-	batch.Worker           // as its registry entry describes it, except for Incarnation, which is the newest known one
-	entryIncarnation int64 // incarnation that the registry entry describes; 0 if the entry doesn't report it
+	batch.Worker                   // as its registry entry describes it, except for Incarnation, which is the newest known one
+	entryIncarnation int64         // incarnation that the registry entry describes; 0 if the entry doesn't report it
+	incarnationAt    time.Duration // when Incarnation was learned or last confirmed by a report
 	registered       bool
 	drainingSince    time.Duration
 	allocs           map[runKey]*alloc
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -147,11 +147,12 @@
 		return
 	}
 	if r.Incarnation != 0 && r.Incarnation != w.Incarnation {
-		if r.Incarnation < w.Incarnation {
-			return
+		if r.Incarnation < w.Incarnation && sent <= w.incarnationAt {
+			return // a late response of an earlier incarnation
 		}
 		c.setIncarnation(w, r.Incarnation, received)
 	}
+	w.incarnationAt = received
 	c.checkSuspects(w, r.Running, received)
 	w.lastClock, w.lastContact, w.unresponsive = r.Clock, received, false
 	if !w.contacted {
@@ -436,17 +437,20 @@
 	if w == nil {
 		w = c.newWorker(e.ID, now)
 	}
-	if e.Incarnation != 0 && e.Incarnation < w.Incarnation {
+	earlier := e.Incarnation != 0 && e.Incarnation < w.Incarnation
+	if earlier && !(w.unresponsive && w.leasesExpired(now)) {
 		return // the address of an earlier incarnation may be that of another worker now
 	}
-	if e.Incarnation > w.Incarnation {
+	if earlier || e.Incarnation > w.Incarnation {
+		// The time of day may have gone back before the worker started again.
 		c.setIncarnation(w, e.Incarnation, now)
+		w.incarnationAt = now
 	}
 	if e.Draining && !w.Draining {
 		w.drainingSince = now
 		c.log.WithFields(logrus.Fields{"worker": w.ID, "remaining_ms": e.Remaining.Milliseconds(), "runs": len(w.allocs)}).Info("worker is draining")
 	}
-	if e.Incarnation > w.entryIncarnation {
+	if e.Incarnation > w.entryIncarnation || earlier {
 		w.takenDown = false
 	}
 	incarnation := max(w.Incarnation, e.Incarnation)
--- a/internal/dispatch/restore.go
+++ b/internal/dispatch/restore.go
@@ -109,7 +109,7 @@
 			w = c.newWorker(v.Worker, now)
 		}
 		// Runs of an earlier incarnation may be stored as well; the next report lacks them.
-		w.Incarnation = max(w.Incarnation, v.Incarnation)
+		w.Incarnation, w.incarnationAt = max(w.Incarnation, v.Incarnation), now
 		// A worker that has seen the new epoch can't carry out older orders, so its next report is complete.
 		w.setAlloc(t.key(), &alloc{task: t, need: g.spec().Need, startSettled: true, startSettledAt: now, delivered: true})
 		c.requestRenewal(w)
@@ -193,7 +193,7 @@
 	occurrence, err1 := strconv.Atoi(k)
 	step, err2 := strconv.Atoi(s)
 	chunk, err3 := strconv.Atoi(p[2])
-	if !dot || err1 != nil || err2 != nil || err3 != nil {
+	if !dot || err1 != nil || err2 != nil || err3 != nil || occurrence < 0 || step < 0 || chunk < 0 {
 		return rowID{}, false
 	}
 	return rowID{taskRows, p[0], occurrence, step, chunk}, true
