--- a/internal/dispatch/incarnation_test.go
+++ b/internal/dispatch/incarnation_test.go
@@ -127,3 +127,17 @@
 	c.SetWorkers([]batch.Worker{moved}, later)
 	must.Eq(t, "elsewhere:1", c.workers["w"].Address)
 }
+
+// Guards against a run that is closed, and started elsewhere, because an incomplete report lacks it.
+func TestRunMissingFromAnIncompleteReportIsKept(t *testing.T) {
+	c := New(1, testPolicy(), testBounds, discardLog())
+	c.SetWorkers([]batch.Worker{incarnationOf(1, "a")}, 0)
+	c.OnReport("w", WorkerReport{Incarnation: 1, Clock: time.Minute}, 0, 0)
+	c.AddJob(simpleJob("j", "normal", 1, 1, smallNeed), 0)
+	start := startsAfterPlan(c, 0)[0]
+	c.OnStart(start, Delivery{Result: Accepted, Response: Accepted}, 1)
+	c.OnReport("w", WorkerReport{Incarnation: 1, Clock: time.Minute, Incomplete: true}, 2, 3)
+	must.Eq(t, running, c.task("j.0.0.0").phase)
+	c.OnReport("w", WorkerReport{Incarnation: 1, Clock: time.Minute}, 4, 5)
+	must.Eq(t, waiting, c.task("j.0.0.0").phase)
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -91,4 +91,6 @@
 	Clock       time.Duration
 	Running     []RunReport
 	Ended       []EndReport
+	// Incomplete is set if a part of the lists could not be read. A run that isn't listed may be present then.
+	Incomplete bool
 }
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -176,7 +176,9 @@
 		listed[k] = true
 		c.applyRunning(w, k, run, received)
 	}
-	c.closeMissingRuns(w, listed, sent, received)
+	if !r.Incomplete {
+		c.closeMissingRuns(w, listed, sent, received)
+	}
 	if w.ackedEnd > w.forgottenEnd {
 		c.requestRenewal(w)
 	}
