Refuse a job whose id is the key of the leader row

Cause: the state of a job with the id leader would have replaced the leader row until the leader's next write. Change: the intake refuses that id, as it refuses keys of other rows.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -187,8 +187,14 @@
 	return Reply{Code: Malformed, Reason: "id_in_use"}
 }
 
-// validID reports whether an id is not empty, at most 64 bytes long and can't be the key of another kind of row, such as a cancel request.
-func validID(id string) bool { return id != "" && !strings.Contains(id, "/") && len(id) <= 64 }
+// validID reports whether an id is not empty, at most 64 bytes long and can't be the key of another kind of row, such as a cancel request or the leader
+// row.
+func validID(id string) bool {
+	return id != "" && id != reservedID && !strings.Contains(id, "/") && len(id) <= 64
+}
+
+// reservedID is the key of the leader row, which is in the same table as the states of jobs.
+const reservedID = "leader"
 
 func (in *Intake) storeJob(ctx context.Context, c Call, j batch.Job) Reply {
 	value, err := json.Marshal(j)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -311,3 +312,11 @@
 	in.store = &silentOnceStore{Store: s}
 	must.Eq(t, OK, in.State(context.Background(), call("/q/"+testID)).Code)
 }
+
+// Guards against a job whose state would replace the leader row.
+func TestJobIDsAreNoKeysOfOtherRows(t *testing.T) {
+	for _, id := range []string{"", "leader", "host/a", strings.Repeat("0", 65)} {
+		must.False(t, validID(id), must.Sprint(id))
+	}
+	must.True(t, validID(testID))
+}
