Send no copy of a start without authority, and tell what was not sent from what got no response

Cause: authority was checked when an order was handed to its goroutine. A process that was paused there, or between two copies, sent a start on an authority that had run out; the lease in the start bounded the harm. A start for which no connection could be opened counted as possibly carried out: three attempts, then a stop and a wait. Change: Order.StillAllowed is checked before each copy and once more when the connection is open. A copy that was not sent has the result NotSent: its task starts elsewhere at once, unless an earlier copy may still be carried out.

--- a/internal/dispatch/delivery.go
+++ b/internal/dispatch/delivery.go
@@ -14,7 +14,10 @@
 func Deliver(o Order, attempt func(Order) Result) Delivery {
 	d := Delivery{}
 	for range orderAttempts {
-		d.Response = attempt(o)
+		d.Response = TooLate
+		if o.allowed() {
+			d.Response = attempt(o)
+		}
 		if d.Response != Unknown {
 			break
 		}
--- a/internal/dispatch/delivery_test.go
+++ b/internal/dispatch/delivery_test.go
@@ -153,3 +153,31 @@
 	_, ok = r.core.NextRenewal("w", 2*time.Second)
 	must.True(t, ok, must.Sprint("the worker is unresponsive and isn't asked again"))
 }
+
+// Guards against a process that was paused and then sends a start, or another copy of one, on an authority that has run out meanwhile.
+func TestNoCopyOfAStartIsSentWithoutAuthority(t *testing.T) {
+	attempt, calls := responses(Unknown, Unknown, Unknown)
+	copies := 0
+	o := Order{StillAllowed: func() bool { copies++; return copies == 1 }}
+	must.Eq(t, Delivery{Result: Unknown, Response: TooLate, UnansweredCopies: 1}, Deliver(o, attempt), must.Sprint("the first copy may still be carried out"))
+	must.Eq(t, 1, *calls)
+
+	r, start, _ := orderedStart(t, Accepted)
+	r.sentAt.Store(int64(r.clock.SinceBoot() - lapsedWriteAge))
+	r.send(context.Background(), start)
+	must.Eq(t, waiting, r.core.task(start.Task).phase, must.Sprint("the start was withdrawn and nothing was sent"))
+}
+
+// lapsedWriteAge is the age of the last write of a leader whose authority has run out.
+const lapsedWriteAge = authorityAfterCommit + time.Second
+
+// Guards against a task that waits for a lease on a worker that can't have started it, because no connection to it could be opened.
+func TestTaskStartsElsewhereAtOnceIfItsOrderWasNotSent(t *testing.T) {
+	r, start, _ := orderedStart(t, NotSent)
+	r.send(context.Background(), start)
+	must.Eq(t, waiting, r.core.task(start.Task).phase)
+	must.SliceEmpty(t, r.core.TakeOrders(), must.Sprint("there is nothing to stop"))
+	r, start, _ = orderedStart(t, Unknown, NotSent)
+	r.send(context.Background(), start)
+	must.Eq(t, stopping, r.core.task(start.Task).phase, must.Sprint("the first copy may still be carried out"))
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -17,8 +17,13 @@
 	Resume   string        // of a start: checkpoint, or empty
 	Ticket   string        // of a start: permission of the adviser, or empty
 	Stop     bool          // a stop instead of a start
+	// StillAllowed is called right before a copy of a start is sent; if it returns false, the copy is not sent and its result is TooLate. Nil always allows it.
+	StillAllowed func() bool
 }
 
+// allowed reports whether a copy of the order may be sent now.
+func (o *Order) allowed() bool { return o.StillAllowed == nil || o.StillAllowed() }
+
 // Result is the outcome of an order.
 type Result uint8
 
@@ -33,12 +38,13 @@
 	Unhealthy        // the worker refused and has done nothing
 	OtherIncarnation // another incarnation of the worker responded
 	Invalid          // the worker can't interpret the order
+	NotSent          // no connection to the worker: this copy was not carried out
 	Unknown          // no response: the order may still be carried out
 )
 
 // String returns the name for logs.
 func (r Result) String() string {
-	return [...]string{"", "accepted", "deposed", "superseded", "too_late", "no_room", "no_ticket", "unhealthy", "other_boot", "invalid", "unknown"}[r]
+	return [...]string{"", "accepted", "deposed", "superseded", "too_late", "no_room", "no_ticket", "unhealthy", "other_boot", "invalid", "not_sent", "unknown"}[r]
 }
 
 // Renewal is a call to a worker that renews the lease of all its runs, acknowledges ended runs and reads which runs are present.
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -63,7 +63,7 @@
 			delete(s.advice.tickets, w.ID)
 		}
 		c.closeRun(t, outcomeRefused, now)
-	case Unhealthy, Invalid:
+	case Unhealthy, Invalid, NotSent:
 		w.health.addFailure(now, 1)
 		c.closeRun(t, outcomeRefused, now)
 	case TooLate, OtherIncarnation:
@@ -119,7 +119,7 @@
 		return
 	}
 	w := c.workers[o.Worker.ID]
-	if w == nil || r == Unknown || r == Unhealthy || o.Worker.Incarnation != w.Incarnation {
+	if w == nil || r == Unknown || r == NotSent || r == Unhealthy || o.Worker.Incarnation != w.Incarnation {
 		return // an earlier incarnation may have confirmed it
 	}
 	k := runKey{o.Task, o.Run}
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -252,6 +252,9 @@
 	r.metrics.Locked(r.clock.SinceBoot() - began)
 }
 
+// mayAct is hasAuthority for a check right before an order is sent: the process may have been paused since the order was decided.
+func (r *Runner) mayAct() bool { return r.clock.SinceBoot()-r.lastWrite() < authorityAfterCommit }
+
 // hasAuthority reports whether the leader may still give orders: its last successful transaction is recent enough.
 func (r *Runner) hasAuthority(now time.Duration) bool {
 	active := r.leadErr == nil && now-r.lastWrite() < authorityAfterCommit
@@ -277,6 +280,9 @@
 
 func (r *Runner) send(ctx context.Context, o Order) {
 	sent := r.clock.SinceBoot()
+	if !o.Stop {
+		o.StillAllowed = r.mayAct
+	}
 	d := Deliver(o, func(o Order) Result { return r.workers.Order(ctx, o) })
 	r.metrics.Ordered(o, d.Result, r.clock.SinceBoot()-sent)
 	if ctx.Err() != nil {
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -34,6 +34,8 @@
 var (
 	// ErrNotSent means that no byte of the request left this machine, so the call was not carried out.
 	ErrNotSent = errors.New("no connection")
+	// ErrNotAllowed is a case of ErrNotSent: StillAllowed forbade the request.
+	ErrNotAllowed = errors.Wrap(ErrNotSent, "too late to send")
 	// ErrNoResponse means that no complete response arrived and the call may have been carried out.
 	ErrNoResponse = errors.New("no complete answer")
 )
@@ -87,7 +89,7 @@
 	}
 	if r.StillAllowed != nil && !r.StillAllowed() {
 		c.put(r.Address, cn)
-		return Response{}, errors.Wrap(ErrNotSent, "too late to send")
+		return Response{}, errors.WithStack(ErrNotAllowed)
 	}
 	sent := time.Now()
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
