--- a/internal/dispatch/views_test.go
+++ b/internal/dispatch/views_test.go
@@ -70,6 +70,12 @@
 	}{
 		{"job cancelled", func(s *system, _ *Core) { s.cancel("j") }},
 		{"worker restarted", func(s *system, c *Core) { c.setIncarnation(c.workers["w0-0"], 1<<40, s.fleet.now) }},
+		{"worker restarted and responded", func(s *system, c *Core) {
+			w := s.fleet.workers["w0-0"]
+			w.Incarnation = 1 << 40
+			c.SetWorkers(s.fleet.list(), s.fleet.now)
+			c.OnReport(w.ID, WorkerReport{Incarnation: w.Incarnation, Clock: w.clock()}, s.fleet.now, s.fleet.now)
+		}},
 		{"worker stopped responding", func(s *system, c *Core) { c.OnRenewalFailed("w0-0", s.fleet.now) }},
 		{"worker left", func(s *system, c *Core) { c.SetWorkers(nil, s.fleet.now) }},
 		{"capacity shrank", func(s *system, c *Core) {
