End claims of leadership once another host leads, and spread the registration of hosts

Cause: at the start of 300 hosts all of them wrote their rows and many claimed leadership within a second, in the one partition of the leader row (250 transactions a second). The queue of the partition is up to 1 s, longer than the 0.6 to 1 s after which a call is given up and repeated, so that every response came too late, each claim was repeated for ever, and the leader's own transactions failed: no run ever started. Change: a claim ends when the host reads another host's row; a host writes its row at a random time within 5 s of its start, and pauses at random times after a failure. Evidence: TestClaimEndsOnceAnotherHostLeads (doesn't build before).

--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -246,8 +246,7 @@
 
 func (h *Host) claimAndLead(ctx context.Context, observed rowstore.Row) {
 	log := h.options.Log
-	session, err := lead.Claim(ctx, h.options.Store, leaderKey, observed,
-		lead.Row{Host: h.options.HostID, Address: h.options.Address, Processors: h.options.Processors, Incarnation: h.options.Incarnation})
+	session, err := h.claim(ctx, observed)
 	if err != nil {
 		h.leaderWatch.RecordFailedClaim(observed.Version, time.Now())
 		log.WithError(err).Info("claim of leadership failed")
@@ -260,6 +259,28 @@
 	log.WithFields(logrus.Fields{"epoch": session.Epoch()}).WithError(err).Info("stopped leading")
 }
 
+// claim claims leadership until the result is known or another host has claimed: that host's row fails the condition of every attempt, and on a table that
+// is overloaded by the claims of many hosts the responses come too late.
+func (h *Host) claim(ctx context.Context, observed rowstore.Row) (*lead.Session, error) {
+	claimCtx, giveUp := context.WithCancelCause(ctx)
+	var group sync.WaitGroup
+	defer group.Wait()
+	defer giveUp(nil)
+	group.Go(func() {
+		for lead.Sleep(claimCtx, claimCheckInterval) {
+			if h.leaderWatch.ClaimedByOther(observed.Version, h.options.Incarnation) {
+				giveUp(lead.ErrDeposed)
+			}
+		}
+	})
+	session, err := lead.Claim(claimCtx, h.options.Store, leaderKey, observed,
+		lead.Row{Host: h.options.HostID, Address: h.options.Address, Processors: h.options.Processors, Incarnation: h.options.Incarnation})
+	if err != nil && errors.Is(context.Cause(claimCtx), lead.ErrDeposed) {
+		return nil, lead.ErrDeposed
+	}
+	return session, err
+}
+
 // lead restores the state that earlier leaders have stored, and leads until ctx ends or another host takes over.
 func (h *Host) lead(ctx context.Context, session *lead.Session) error {
 	runCtx, stop := context.WithCancel(ctx)
--- a/internal/batchhost/host_test.go
+++ b/internal/batchhost/host_test.go
@@ -17,6 +17,7 @@
 	"samphirewell/internal/clock"
 	"samphirewell/internal/dispatch"
 	"samphirewell/internal/lead"
+	"samphirewell/internal/rowstore"
 	"samphirewell/internal/rowstore/memstore"
 )
 
@@ -124,3 +125,38 @@
 	}
 	return nil
 }
+
+// silentStore carries out no transaction and responds to none.
+type silentStore struct{ *memstore.Store }
+
+func (silentStore) Commit(ctx context.Context, _ rowstore.Tx) (rowstore.TxResult, error) {
+	<-ctx.Done()
+	return rowstore.TxResult{}, rowstore.ErrUncertain
+}
+
+// Guards against hosts that repeat their claims without end: at the start of 300 hosts the claims kept the table so busy that no response came in time, the
+// leader's transactions failed too, and no job ever started.
+func TestClaimEndsOnceAnotherHostLeads(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	h := New(Options{HostID: "h", Incarnation: "p", Store: silentStore{memstore.New()}, Sources: emptySources{}, Clock: clock.NewBoot(), Metrics: discardMetrics{}, Log: log})
+	leaderRow := func(incarnation string, version uint64) rowstore.Row {
+		value, err := json.Marshal(lead.Row{Host: "x", Incarnation: incarnation, Epoch: 1})
+		must.NoError(t, err)
+		return rowstore.Row{Key: leaderKey, Value: value, Version: version}
+	}
+	h.leaderWatch.Observe([]rowstore.Row{leaderRow("p", 3)}, true, time.Now())
+	must.False(t, h.leaderWatch.ClaimedByOther(0, "p"), must.Sprint("the host's own claim took effect although its response was lost"))
+	result := make(chan error, 1)
+	go func() {
+		_, err := h.claim(context.Background(), rowstore.Row{})
+		result <- err
+	}()
+	select {
+	case err := <-result:
+		t.Fatalf("the claim ended without a reason: %v", err)
+	case <-time.After(3 * claimCheckInterval):
+	}
+	h.leaderWatch.Observe([]rowstore.Row{leaderRow("other", 4)}, false, time.Now())
+	must.ErrorIs(t, <-result, lead.ErrDeposed)
+}
--- a/internal/batchhost/hosts.go
+++ b/internal/batchhost/hosts.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"hash/fnv"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -13,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"samphirewell/internal/dispatch"
+	"samphirewell/internal/lead"
 	"samphirewell/internal/rowstore"
 )
 
@@ -23,8 +25,11 @@
 	hostRowInterval = 5 * time.Minute
 	// staleHostAge is the age above which the leader deletes a host's row: three periods of hostRowInterval plus a long outage of the table.
 	staleHostAge = 20 * time.Minute
-	// hostRowRetryPause is the pause after a host failed to write its own row.
-	hostRowRetryPause = 2 * time.Second
+	// hostRowRetryPause is the longest pause after a host failed to write its own row.
+	hostRowRetryPause = 4 * time.Second
+	// hostRowSpread is the time over which the hosts of a deployment that start together write their rows: 900 hosts stay below the 250 transactions a second
+	// of a partition, which also holds the leader row.
+	hostRowSpread = 5 * time.Second
 	// hostWriteTimeout bounds one write or deletion of a host's row.
 	hostWriteTimeout = time.Second
 )
@@ -147,15 +152,11 @@
 		panic(errors.Wrap(err, "encoding of a host row failed"))
 	}
 	tx := rowstore.Tx{Puts: []rowstore.Row{{Key: hostKey(h.options.HostID), Value: value}}}
-	for ctx.Err() == nil {
-		pause := hostRowInterval
+	for pause := rand.N(hostRowSpread); lead.Sleep(ctx, pause); {
+		pause = hostRowInterval
 		if err := h.writeHostRow(ctx, tx); err != nil {
 			h.options.Log.WithError(err).Info("could not register this host")
-			pause = hostRowRetryPause
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(pause):
+			pause = hostRowRetryPause/2 + rand.N(hostRowRetryPause/2)
 		}
 	}
 }
--- a/internal/lead/watch.go
+++ b/internal/lead/watch.go
@@ -74,6 +74,17 @@
 	return w.row.Version
 }
 
+// ClaimedByOther reports whether another process has written the leader row since the given version.
+func (w *Watch) ClaimedByOther(version uint64, incarnation string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.row.Version <= version {
+		return false
+	}
+	r, err := Decode(w.row.Value)
+	return err != nil || r.Incarnation != incarnation
+}
+
 // Observe applies rows that were read from the table; complete means that they are its whole contents.
 func (w *Watch) Observe(rows []rowstore.Row, complete bool, now time.Time) {
 	w.mu.Lock()
