Let few hosts follow the states closely, and stagger claims on a leader that doesn't write

Cause: each of 147 hosts read the feed of the states four times a second, some 735 reads a second with the configuration. Change: the 12 hosts that probe first, and the leader, keep the interval of 250 ms; the others read once a second. Claims on a leader that responds but doesn't write are staggered in groups of three like the probes.

--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -22,6 +22,10 @@
 	// statesInterval is the shortest time between two reads of the states table. States that may still change are requested from the leader, so this
 	// only bounds how late the loss of a leader is detected.
 	statesInterval = 250 * time.Millisecond
+	// distantStatesInterval is the interval of hosts that probe the leader only after promptHosts others. Most hosts of a large deployment are such: a table that is
+	// slowed 60 times carries some 250 reads a second. Callers may see the number of waiting jobs 2 s late.
+	distantStatesInterval = time.Second
+	promptHosts           = 12
 	// inboxInterval is the shortest time between two reads of the inbox by the leader; it delays the start of a job by half of that on average.
 	inboxInterval = 30 * time.Millisecond
 	// claimCheckInterval is the time between two checks whether the leader has to be probed or leadership claimed.
@@ -99,6 +103,7 @@
 	h := &Host{options: o, bounds: o.Bounds, leaderWatch: lead.NewWatch(leaderKey, o.HostID, o.Processors)}
 	h.intake = intake.New(o.Store, o.Sources.PolicyAge, h, o.Log)
 	h.statesFollower = rowstore.NewFollower(o.Store, dispatch.TableStates, []string{dispatch.Partition}, stateRows{h}, statesInterval, o.Log)
+	h.statesFollower.Interval = h.statesInterval
 	return h
 }
 
@@ -218,6 +223,15 @@
 	return slices.Clone(h.waves)
 }
 
+// statesInterval returns how often this host reads the states table.
+func (h *Host) statesInterval() time.Duration {
+	leader, known := h.leaderWatch.Leader()
+	if known && leader.Host != h.options.HostID && h.hosts.rank(h.options.HostID, h.options.Processors, leader.Epoch) >= promptHosts {
+		return distantStatesInterval
+	}
+	return statesInterval
+}
+
 // leadLoop probes the leader and claims leadership whenever either is due, until ctx ends. Probes run in the group.
 func (h *Host) leadLoop(ctx context.Context, group *sync.WaitGroup) {
 	ticker := time.NewTicker(claimCheckInterval)
--- a/internal/lead/watch.go
+++ b/internal/lead/watch.go
@@ -115,7 +115,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.row.Version == 0 || w.lostVersion == w.row.Version || now.Sub(w.lastRead) > staleAfter || now.Sub(w.lastProbe) < probeInterval ||
-		now.Sub(w.lastChange) < suspectAfter+w.jitter+time.Duration(w.rank/probersPerGroup)*probeGroupDelay {
+		now.Sub(w.lastChange) < suspectAfter+w.jitter+w.groupDelay() {
 		return Row{}, 0, false
 	}
 	r, err := Decode(w.row.Value)
@@ -165,7 +165,13 @@
 	case err == nil && w.lostVersion == w.row.Version:
 		return w.row, now.Sub(w.lostAt) >= delay
 	}
-	return w.row, now.Sub(w.lastChange) > staleAfter+w.jitter+delay
+	return w.row, now.Sub(w.lastChange) > staleAfter+w.jitter+delay+w.groupDelay()
+}
+
+// groupDelay returns the delay of this host's probes, and of its claims on a leader that responds but doesn't write: many hosts that claim at once would keep
+// a slow table busy.
+func (w *Watch) groupDelay() time.Duration {
+	return time.Duration(w.rank/probersPerGroup) * probeGroupDelay
 }
 
 // RecordFailedClaim records that a claim based on this version of the row failed. Most likely another host has claimed, and this host will read
--- a/internal/rowstore/follower.go
+++ b/internal/rowstore/follower.go
@@ -37,7 +37,9 @@
 	Handler    Handler
 	// MinInterval is the shortest time between two reads of the feed. It bounds calls and bytes when a table changes often.
 	MinInterval time.Duration
-	Log         logrus.FieldLogger
+	// Interval replaces MinInterval if it is set; it is called before each pause.
+	Interval func() time.Duration
+	Log      logrus.FieldLogger
 
 	confirmedAt  atomic.Int64 // when the newest successful read was sent, in nanoseconds after start on the monotonic clock; 0 without one
 	start        time.Time
@@ -83,10 +85,17 @@
 		}
 		f.confirmedAt.Store(max(1, int64(sent.Sub(f.start))))
 		pause = followRetryMin
-		sleep(ctx, f.MinInterval-time.Since(sent))
+		sleep(ctx, f.interval()-time.Since(sent))
 	}
 }
 
+func (f *Follower) interval() time.Duration {
+	if f.Interval != nil {
+		return f.Interval()
+	}
+	return f.MinInterval
+}
+
 // NewFollower returns a follower of a table; Run starts it.
 func NewFollower(s Store, table string, partitions []string, h Handler, minInterval time.Duration, log logrus.FieldLogger) *Follower {
 	return &Follower{Store: s, Table: table, Partitions: partitions, Handler: h, MinInterval: minInterval, Log: log, start: time.Now()}
