Open the connection of an order again after a failed attempt

Cause: an order whose first connection failed was not repeated any more, although a single lost packet is enough; the task's whole gang was stopped. Change: Deliver tries to open a connection as often as it repeats a copy without a response; the result is NotSent only if no copy was sent.

--- a/internal/dispatch/delivery.go
+++ b/internal/dispatch/delivery.go
@@ -10,7 +10,7 @@
 	UnansweredCopies int    // copies that got no response
 }
 
-// Deliver sends copies of an order until one gets a response. A copy without a response may be carried out after later copies.
+// Deliver sends copies of an order until one gets a response. Opening a connection is tried as often, since a single packet may be lost. A copy without a response may be carried out after later copies.
 func Deliver(o Order, attempt func(Order) Result) Delivery {
 	d := Delivery{}
 	for range orderAttempts {
@@ -18,10 +18,11 @@
 		if o.allowed() {
 			d.Response = attempt(o)
 		}
-		if d.Response != Unknown {
+		if d.Response == Unknown {
+			d.UnansweredCopies++
+		} else if d.Response != NotSent {
 			break
 		}
-		d.UnansweredCopies++
 	}
 	d.Result = d.Response
 	if d.UnansweredCopies > 0 && !d.Response.holdsForEarlierCopies(o) {
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -440,7 +440,7 @@
 		w = c.newWorker(e.ID, now)
 	}
 	earlier := e.Incarnation != 0 && e.Incarnation < w.Incarnation
-	if earlier && !(w.unresponsive && w.leasesExpired(now)) {
+	if earlier && (!w.unresponsive || !w.leasesExpired(now)) {
 		return // the address of an earlier incarnation may be that of another worker now
 	}
 	if earlier || e.Incarnation > w.Incarnation {
