--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SCHEMAS  := $(sort $(basename $(notdir $(wildcard schema/*.json))))
 BIN      := bin
 
-.PHONY: all build test lint fmt-check generate generate-check libc-check demo capacity ci
+.PHONY: all build test lint fmt-check generate generate-check libc-check demo ci
 
 all: build
 
@@ -41,8 +41,4 @@
 demo: build
 	$(BIN)/samphirectl demo --deployment $(DEPLOYMENT)
 
-# Measures how cost grows with size and estimates it for the target sizes; takes about 6 minutes.
-capacity: build
-	$(BIN)/samphirectl capacity
-
 ci: fmt-check generate-check lint libc-check test
--- a/internal/tools/tools.go
+++ b/internal/tools/tools.go
@@ -12,6 +12,5 @@
 		{Name: "timeline", Help: "Merge the time lines of all reachable hosts.", Cmd: new(timelineCmd)},
 		{Name: "standin", Help: "Run stand-ins of the platform, its balancer, executors and workers, for trials without the real ones.", Cmd: new(standinCmd)},
 		{Name: "explain", Help: "Explain jobs and calls by the reasons that the hosts recorded.", Cmd: new(explainCmd)},
-		{Name: "capacity", Help: "Measure how cost grows with size on loopback, and work out the target sizes.", Cmd: new(capacityCmd)},
 	}
 }
