Give transactions on a slow table the time that they take

Cause: on a table slowed 60 times a transaction takes 0.5 s and waits for others of its partition. Direct calls were given up after 0.6 s and a leader's attempt after 1 s, and repeated behind themselves. Change: the bound of direct calls grows to 2 s while calls get no response and falls back after a quick one (patience, a pure type); an attempt of the leader has 2 s and one of the intake 1.6 s.

--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// attemptTimeout bounds one call to the table; it exceeds the time of a transaction on a store that is slowed 60 times (0.25 s).
-	attemptTimeout = 800 * time.Millisecond
+	// attemptTimeout bounds one call to the table; it exceeds the time of a transaction on a store that is slowed 60 times (0.5 s), with others waiting.
+	attemptTimeout = 1600 * time.Millisecond
 	// retryPause is the pause between two attempts of a transaction whose result is not known.
 	retryPause = 50 * time.Millisecond
 	// responseReserve is the time before the caller's deadline that is reserved for sending the response.
--- a/internal/lead/session.go
+++ b/internal/lead/session.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// callTimeout bounds one transaction; it exceeds the time of a transaction on a store that is slowed 60 times (0.25 s), with others waiting.
-	callTimeout = time.Second
+	// callTimeout bounds one attempt of a transaction; it exceeds the time of a transaction on a store that is slowed 60 times (0.5 s), with others waiting.
+	callTimeout = 2 * time.Second
 	// retryMin and retryMax bound the pause between two attempts of a transaction whose result is not known. The maximum is a fraction of the time for
 	// which a leader has authority without a successful write.
 	retryMin = 30 * time.Millisecond
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,9 +24,6 @@
 	relayPause = 700 * time.Millisecond
 	// relayTimeout bounds one relayed call beyond the time that it waits for changes.
 	relayTimeout = 900 * time.Millisecond
-	// directTimeout bounds a direct call beyond the time that it waits for changes, if the call can be relayed afterwards, and a call made for another
-	// host. Without it a table that doesn't respond would use up the time of the caller.
-	directTimeout = 600 * time.Millisecond
 )
 
 // Caller sends requests to other hosts.
@@ -45,6 +42,7 @@
 	relayFirstUntil time.Time // until then calls are relayed before they are tried directly
 	noRelayUntil    time.Time // until then no call is relayed
 	nextHost        int
+	patience        patience
 	OnRelayed       func(ok bool) // called after each relayed call; may be nil
 }
 
@@ -144,25 +142,38 @@
 	return now.Before(s.relayFirstUntil), !now.Before(s.noRelayUntil)
 }
 
-// callDirect makes a direct call and records whether it succeeded. If the call can still be relayed, it is bounded by directTimeout.
+// callDirect makes a direct call and records whether it succeeded. If the call can still be relayed, it is bounded by the store's patience.
 func callDirect[T any](ctx context.Context, s *Store, wait time.Duration, mayRelay bool, direct func(context.Context) (T, error)) (T, error) {
 	if mayRelay && len(s.hosts()) > 0 {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, wait+directTimeout)
+		ctx, cancel = context.WithTimeout(ctx, wait+s.directLimit())
 		defer cancel()
 	}
+	began := s.now()
 	got, err := direct(ctx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case err == nil:
 		s.relayFirstUntil = time.Time{}
+		if wait == 0 {
+			s.patience.recordResponse(s.now().Sub(began))
+		}
 	case retriable(err):
 		s.relayFirstUntil = s.now().Add(relayFirstPeriod)
+		if errors.Is(err, rowstore.ErrUncertain) && wait == 0 {
+			s.patience.recordSilence()
+		}
 	}
 	return got, err
 }
 
+func (s *Store) directLimit() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.patience.current()
+}
+
 // relayBeforeDirect sends a call to another host and leaves half of the caller's time for a direct call. A call that waits for changes may use all of it: the
 // other half would be too short for another wait, and the next read of the feed is a direct one once relayFirstPeriod has passed.
 func (s *Store) relayBeforeDirect(ctx context.Context, call api.RelayCall, wait time.Duration) (api.RelayResult, []rowstore.Row, error) {
