Check what cycles keep without measuring time

Cause: TestCycleCostStaysLow compared wall time with a bound of 30 ms that came from no target. Change: it is replaced by two checks of the property itself: TestPlansKeepWhatHasNotChanged and TestWorkersAreMatchedOnceForEachShape. Evidence: the first fails when views are computed each time.

--- a/internal/bench/fleetmodel/cycle_test.go
+++ b/internal/bench/fleetmodel/cycle_test.go
@@ -41,17 +41,6 @@
 	return s
 }
 
-// Guards against a cost of decisions that grows with the fleet times the waiting work: with it a cycle took 18 ms of a core at 1,100 workers. The bound
-// allows for slow machines and the race detector.
-func TestCycleCostStaysLow(t *testing.T) {
-	const maxCycle = 30 * time.Millisecond
-	s := loadLarge(t, 1)
-	s.LengthS, s.SettleS = 8, 1
-	r := s.runSeed(1, Policies()[0])
-	cycles := s.Elapsed() / timeStep
-	must.Less(t, maxCycle, r.Plan/cycles)
-}
-
 // BenchmarkTakeover measures the processor time in which a new leader restores the jobs and tasks of a loaded fleet of 1,100 workers.
 func BenchmarkTakeover(b *testing.B) {
 	s := loadLarge(b, 1)
--- a/internal/dispatch/views_test.go
+++ b/internal/dispatch/views_test.go
@@ -148,3 +148,23 @@
 	close(finish)
 	<-done
 }
+
+// Guards against cycles that look at all runs again: what a plan needs to know of a worker is kept until the worker or its runs change.
+func TestPlansKeepWhatHasNotChanged(t *testing.T) {
+	s := newSystem(t, 1, 2, 4)
+	s.submit(longJob("filling", "batch", 2, 64, accelerator))
+	s.submit(simpleJob("waiting", "normal", 1, 1, batch.Resources{MilliCores: 1000, Accelerators: 8}))
+	s.run(2 * time.Second)
+	core := s.leaders[0].core
+	before := map[string]*workerView{}
+	for _, w := range core.byID {
+		before[w.ID] = w.currentView()
+	}
+	for range 3 {
+		core.Replan()
+		core.Plan(s.fleet.now)
+	}
+	for _, w := range core.byID {
+		must.True(t, before[w.ID] == w.view, must.Sprint(w.ID))
+	}
+}
--- a/internal/placement/equal_test.go
+++ b/internal/placement/equal_test.go
@@ -97,3 +97,17 @@
 		must.Eq(t, want, Plan(in))
 	})
 }
+
+// Guards against a cost of decisions that grows with the fleet times the waiting requests: workers are matched once for each shape of step, not for each request.
+func TestWorkersAreMatchedOnceForEachShape(t *testing.T) {
+	in := Input{Workers: fleet(20, 8)}
+	for i := range 300 {
+		need := batch.Resources{MilliCores: 1000, MemoryMB: 100, Accelerators: []int{1, 2, 4, 8}[i%4]}
+		in.Requests = append(in.Requests, Request{ID: fmt.Sprint(i), Step: &batch.Step{Need: need, Gang: true, SameRack: true}, Count: 1 + i%9, Gang: true, MayPreempt: i%3 == 0})
+	}
+	p := newPlanner(in)
+	for i := range in.Requests {
+		p.planRequest(i)
+	}
+	must.SliceLen(t, 4, p.slotIndexList)
+}
