--- a/internal/dispatch/views_test.go
+++ b/internal/dispatch/views_test.go
@@ -153,7 +153,9 @@
 func TestPlansKeepWhatHasNotChanged(t *testing.T) {
 	s := newSystem(t, 1, 2, 4)
 	s.submit(longJob("filling", "batch", 2, 64, accelerator))
-	s.submit(simpleJob("waiting", "normal", 1, 1, batch.Resources{MilliCores: 1000, Accelerators: 8}))
+	waits := simpleJob("waiting", "normal", 1, 1, accelerator)
+	waits.Steps[0].Requires = "label of no worker"
+	s.submit(waits)
 	s.run(2 * time.Second)
 	core := s.leaders[0].core
 	before := map[string]*workerView{}
