--- a/internal/relay/patience.go
+++ b/internal/relay/adaptive_timeout.go
@@ -11,19 +11,19 @@
 	maxDirectTimeout = 2 * time.Second
 )
 
-// patience is the bound of direct calls. It grows while calls get no response, and falls back once the table responds quickly.
-type patience struct{ limit time.Duration }
+// adaptiveTimeout is the bound of direct calls. It grows while calls get no response, and falls back once the table responds quickly.
+type adaptiveTimeout struct{ limit time.Duration }
 
-func (p *patience) current() time.Duration { return max(p.limit, directTimeout) }
+func (t *adaptiveTimeout) current() time.Duration { return max(t.limit, directTimeout) }
 
 // recordSilence records a call that got no response in time.
-func (p *patience) recordSilence() { p.limit = min(2*p.current(), maxDirectTimeout) }
+func (t *adaptiveTimeout) recordSilence() { t.limit = min(2*t.current(), maxDirectTimeout) }
 
 // recordResponse records the time to a response, without the time that the call was to wait for changes.
-func (p *patience) recordResponse(took time.Duration) {
+func (t *adaptiveTimeout) recordResponse(took time.Duration) {
 	if took < directTimeout/4 {
-		p.limit = directTimeout
+		t.limit = directTimeout
 		return
 	}
-	p.limit = min(max(p.limit, 4*took), maxDirectTimeout)
+	t.limit = min(max(t.limit, 4*took), maxDirectTimeout)
 }
--- a/internal/relay/patience_test.go
+++ b/internal/relay/adaptive_timeout_test.go
@@ -8,8 +8,8 @@
 )
 
 // Guards against a bound that stays long after a slow time, when a lost response costs the caller that much.
-func TestPatienceFollowsTheTable(t *testing.T) {
-	var p patience
+func TestTimeoutFollowsTheTable(t *testing.T) {
+	var p adaptiveTimeout
 	must.Eq(t, directTimeout, p.current())
 	p.recordSilence()
 	must.Eq(t, 2*directTimeout, p.current())
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -42,7 +42,7 @@
 	relayFirstUntil time.Time // until then calls are relayed before they are tried directly
 	noRelayUntil    time.Time // until then no call is relayed
 	nextHost        int
-	patience        patience
+	directTimeout   adaptiveTimeout
 	OnRelayed       func(ok bool) // called after each relayed call; may be nil
 }
 
@@ -142,7 +142,7 @@
 	return now.Before(s.relayFirstUntil), !now.Before(s.noRelayUntil)
 }
 
-// callDirect makes a direct call and records whether it succeeded. If the call can still be relayed, it is bounded by the store's patience.
+// callDirect makes a direct call and records whether it succeeded. If the call can still be relayed, it is bounded by the adaptive timeout.
 func callDirect[T any](ctx context.Context, s *Store, wait time.Duration, mayRelay bool, direct func(context.Context) (T, error)) (T, error) {
 	if mayRelay && len(s.hosts()) > 0 {
 		var cancel context.CancelFunc
@@ -157,12 +157,12 @@
 	case err == nil:
 		s.relayFirstUntil = time.Time{}
 		if wait == 0 {
-			s.patience.recordResponse(s.now().Sub(began))
+			s.directTimeout.recordResponse(s.now().Sub(began))
 		}
 	case retriable(err):
 		s.relayFirstUntil = s.now().Add(relayFirstPeriod)
 		if errors.Is(err, rowstore.ErrUncertain) && wait == 0 {
-			s.patience.recordSilence()
+			s.directTimeout.recordSilence()
 		}
 	}
 	return got, err
@@ -171,7 +171,7 @@
 func (s *Store) directLimit() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.patience.current()
+	return s.directTimeout.current()
 }
 
 // relayBeforeDirect sends a call to another host and leaves half of the caller's time for a direct call. A call that waits for changes may use all of it: the
