--- a/internal/dispatch/delivery.go
+++ b/internal/dispatch/delivery.go
@@ -10,7 +10,8 @@
 	UnansweredCopies int    // copies that got no response
 }
 
-// Deliver sends copies of an order until one gets a response. Opening a connection is tried as often, since a single packet may be lost. A copy without a response may be carried out after later copies.
+// Deliver sends copies of an order until one gets a response. Opening a connection is tried as often, since a single packet may be lost. A copy without a
+// response may be carried out after later copies.
 func Deliver(o Order, attempt func(Order) Result) Delivery {
 	d := Delivery{}
 	for range orderAttempts {
