Write log lines in pieces that a pipe takes whole

Cause: the sink wrote all lines of 100 ms in one write, up to 512 KB.

Change: lines are written in pieces of whole lines of at most 4,096 bytes.

--- a/internal/logsink/logsink.go
+++ b/internal/logsink/logsink.go
@@ -3,6 +3,7 @@
 package logsink
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -12,6 +13,9 @@
 // bufferBytes bounds the lines that wait to be written. A host logs some kilobytes a second, so the buffer covers a reader that stalls for a minute.
 const bufferBytes = 512 << 10
 
+// maxWriteBytes is the size of a write that a pipe takes as a whole (PIPE_BUF). Larger writes may be mixed with those of other processes, or be cut.
+const maxWriteBytes = 4096
+
 // Sink is an io.Writer for log lines. It is safe for concurrent use.
 type Sink struct {
 	out io.Writer
@@ -113,9 +117,35 @@
 	if dropped > 0 {
 		data = fmt.Appendf(data, "{\"level\":\"warning\",\"msg\":\"log lines dropped\",\"lines\":%d}\n", dropped)
 	}
-	_, err := s.out.Write(data)
+	ok := s.writeLines(data)
 	s.mu.Lock()
 	s.spare = data
 	s.mu.Unlock()
-	return err == nil
+	return ok
+}
+
+// writeLines writes whole lines, as many at a time as fit into maxWriteBytes; a longer line is written alone. It reports whether that succeeded.
+func (s *Sink) writeLines(lines []byte) bool {
+	for len(lines) > 0 {
+		n := firstLines(lines)
+		if _, err := s.out.Write(lines[:n]); err != nil {
+			return false
+		}
+		lines = lines[n:]
+	}
+	return true
+}
+
+// firstLines returns the length of the first lines that fit into maxWriteBytes together, at least one line.
+func firstLines(lines []byte) int {
+	if len(lines) <= maxWriteBytes {
+		return len(lines)
+	}
+	if end := bytes.LastIndexByte(lines[:maxWriteBytes], '\n'); end >= 0 {
+		return end + 1
+	}
+	if end := bytes.IndexByte(lines, '\n'); end >= 0 {
+		return end + 1
+	}
+	return len(lines)
 }
--- a/internal/logsink/logsink_test.go
+++ b/internal/logsink/logsink_test.go
@@ -110,3 +110,32 @@
 	must.True(t, s.flush())
 	must.Eq(t, "aaaa\nbbbb\ncccc\n", out.text.String())
 }
+
+// writeSizes is an output that records each write.
+type writeSizes struct{ writes []string }
+
+func (w *writeSizes) Write(p []byte) (int, error) {
+	w.writes = append(w.writes, string(p))
+	return len(p), nil
+}
+
+// Guards against lines that a pipe cuts because many are written together.
+func TestLinesAreWrittenInPiecesThatAPipeTakesWhole(t *testing.T) {
+	out := &writeSizes{}
+	s := New(out)
+	var want strings.Builder
+	for i := range 200 {
+		line := strings.Repeat("x", 37*(i%30)) + "\n"
+		if i == 100 {
+			line = strings.Repeat("y", 3*maxWriteBytes) + "\n"
+		}
+		want.WriteString(line)
+		_, _ = s.Write([]byte(line))
+	}
+	s.Close(5 * time.Second)
+	must.Eq(t, want.String(), strings.Join(out.writes, ""))
+	for _, w := range out.writes {
+		must.StrHasSuffix(t, "\n", w)
+		must.True(t, len(w) <= maxWriteBytes || strings.Count(w, "\n") == 1)
+	}
+}
