--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -63,6 +63,7 @@
 	urgentDemand         urgentDemand
 	ampleSince           map[string]time.Duration // since when the capacity of a service has been ample
 	lastStateCleanup     time.Duration
+	prioritiesLoggedAt   time.Duration
 	failures             []time.Duration // when workers stopped responding
 	suspectedStartAt     time.Duration   // when a task group that is suspected to crash workers was last placed
 	counts               Counts
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -155,7 +155,8 @@
 			lost := c.lostWork(t, now)
 			c.counts.LostCoreSeconds[key] += lost
 			c.logTask(t).WithFields(logrus.Fields{"reason": reason, "claimant": preemptor, "priority": g.job.Queue.Priority, "percent": t.percent,
-				"ran_ms": (now - t.startedAt).Milliseconds(), "lost_core_s": int(lost), "preemptions": g.preemptions}).Info("stopping run")
+				"ran_ms": (now - t.startedAt).Milliseconds(), "lost_core_s": int(lost), "preemptions": g.preemptions, "silent_ms": c.silence(t, now).Milliseconds(),
+				"standing": c.objectiveStatus(g.job, now).String(), "remaining_percent": int(100 * c.remainingShare(g.job, g.occurrence))}).Info("stopping run")
 			c.setPhase(t, stopping)
 			t.stopConfirmed = false
 			c.orderStop(t, now)
@@ -163,6 +164,14 @@
 	}
 }
 
+// silence returns the time since the worker of a run last reported.
+func (c *Core) silence(t *task, now time.Duration) time.Duration {
+	if w := c.workers[t.worker]; w != nil {
+		return now - w.lastContact
+	}
+	return 0
+}
+
 func (c *Core) orderStop(t *task, now time.Duration) {
 	t.stopOrderedAt = now
 	if w := c.workers[t.worker]; w != nil && w.Address != "" {
--- a/internal/dispatch/waitlog.go
+++ b/internal/dispatch/waitlog.go
@@ -61,7 +61,8 @@
 			"same_rack": r.Step.SameRack, "data_rack": r.Step.DataRack, "accelerators_each": r.Step.Need.Accelerators,
 			"within_guarantee": r.WithinGuarantee, "fit_fleet": l.room.Fleet, "fit_rack": l.room.Rack, "left_fleet": left.Fleet,
 			"left_rack": left.Rack, "reserved": slices.Contains(in.decision.Reserved, l.request), "avoided_workers": l.avoided, "ahead": l.request,
-			"priority": r.Priority, "standing": c.objectiveStatus(g.job, now).String(), "preemptions": g.preemptions}).Info("still waiting for room")
+			"priority": r.Priority, "standing": c.objectiveStatus(g.job, now).String(), "preemptions": g.preemptions,
+			"remaining_percent": int(100 * c.remainingShare(g.job, g.occurrence))}).Info("still waiting for room")
 	}
 }
 
