Serve jobs by the worth of their remaining work

Cause: requests of a priority were ordered by whether their job can still meet its objective, then by age. A job that has just missed its objective gives way to all newer ones, however little of it is left, and a job earns only as a whole. The objective was judged by the present step alone, and that of a recurring job from its acceptance.

Objective and remaining time follow the chain of steps; occurrences are dated by their due time.

--- a/internal/dispatch/objective.go
+++ b/internal/dispatch/objective.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // objectiveStatus is how the age of a job compares with its objective.
 type objectiveStatus uint8
@@ -19,21 +22,12 @@
 
 // objective is the time in which a job should be done: a multiple of its critical path, and a fixed part.
 func (c *Core) objective(j *job) time.Duration {
-	return time.Duration(j.Queue.Stretch*float64(c.criticalPath(j))) + j.Queue.Target
+	return j.objectiveFor(slices.Max(c.remainingPaths(j)))
 }
 
-// criticalPath is the expected run time of the chain of dependent steps that takes longest.
-func (c *Core) criticalPath(j *job) time.Duration {
-	longest := time.Duration(0)
-	ends := make([]time.Duration, len(j.Steps))
-	for i, s := range j.Steps {
-		for _, a := range s.After {
-			ends[i] = max(ends[i], ends[a])
-		}
-		ends[i] += c.expectedRunTime(&j.Job, i)
-		longest = max(longest, ends[i])
-	}
-	return longest
+// objectiveFor returns the objective of a job with the given critical path.
+func (j *job) objectiveFor(criticalPath time.Duration) time.Duration {
+	return time.Duration(j.Queue.Stretch*float64(criticalPath)) + j.Queue.Target
 }
 
 // objectiveStatus compares the age of a job with its objective.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -45,9 +45,10 @@
 			continue
 		}
 		service := c.serviceOf(j)
-		for _, steps := range j.steps {
+		for k, steps := range j.steps {
+			worth := &occurrenceWorth{core: c, job: j, occurrence: k, now: now}
 			for _, s := range steps {
-				byService[service] = append(byService[service], c.readyGroupsOf(j, s, guaranteed[j], now)...)
+				byService[service] = append(byService[service], c.readyGroupsOf(j, s, worth, guaranteed[j], now)...)
 			}
 		}
 	}
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -18,11 +18,11 @@
 	order  requestOrder
 }
 
-// requestOrder holds what orders requests by urgency: priority, then requests within a guarantee, then jobs that can still meet their objective, then age.
+// requestOrder holds what orders requests: priority, then requests within a guarantee, then the worth of the job's remaining work, then age.
 type requestOrder struct {
 	urgency          float64
 	beyondGuarantee  bool
-	missesObjective  bool
+	worth            float64 // of the job's remaining work, see occurrenceWorth
 	acceptedMS       int64
 	seq              int // of the job
 	occurrence, step int
@@ -33,7 +33,7 @@
 	if a.seq == b.seq {
 		return cmp.Or(cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.step, b.step), cmp.Compare(a.failures, b.failures))
 	}
-	return cmp.Or(cmp.Compare(a.urgency, b.urgency), compareBool(a.beyondGuarantee, b.beyondGuarantee), compareBool(a.missesObjective, b.missesObjective),
+	return cmp.Or(cmp.Compare(a.urgency, b.urgency), compareBool(a.beyondGuarantee, b.beyondGuarantee), -cmp.Compare(a.worth, b.worth),
 		cmp.Compare(a.acceptedMS, b.acceptedMS), cmp.Compare(a.seq, b.seq))
 }
 
@@ -49,7 +49,7 @@
 }
 
 // readyGroupsOf returns the groups of a step that may be placed now, by their numbers of failures.
-func (c *Core) readyGroupsOf(j *job, s *stepState, withinGuarantee bool, now time.Duration) []readyGroups {
+func (c *Core) readyGroupsOf(j *job, s *stepState, worth *occurrenceWorth, withinGuarantee bool, now time.Duration) []readyGroups {
 	if !s.opened || s.waiting == 0 {
 		return nil
 	}
@@ -61,9 +61,9 @@
 		order := requestOrder{urgency: g.urgency(), beyondGuarantee: !withinGuarantee, acceptedMS: j.AcceptedMS, seq: j.seq,
 			occurrence: g.occurrence, step: g.step, failures: len(g.failedRuns)}
 		if n := len(out); n > 0 {
-			order.missesObjective = out[0].order.missesObjective
+			order.worth = out[0].order.worth
 		} else {
-			order.missesObjective = !c.canMeetObjective(g)
+			order.worth = worth.ofStep(g.step)
 		}
 		i := slices.IndexFunc(out, func(r readyGroups) bool { return r.order == order })
 		if i < 0 {
--- a/internal/dispatch/urgency.go
+++ b/internal/dispatch/urgency.go
@@ -44,14 +44,6 @@
 	return max(0, c.bounds.FarFactor-1) * c.expectedWork(g)
 }
 
-// canMeetObjective reports whether the job of a group is expected to meet its objective if the group starts now.
-func (c *Core) canMeetObjective(g *taskGroup) bool {
-	j := g.job
-	expected := c.expectedRunTime(&j.Job, g.step)
-	objective := time.Duration(j.Queue.Stretch*float64(expected)) + j.Queue.Target
-	return c.now-j.acceptedAt+expected <= objective
-}
-
 // urgentDemand records how much capacity urgent work uses.
 type urgentDemand struct {
 	samples   []float64 // core equivalents, newest last
