Judge the progress of runs by reports only, not by silence

Cause: a run counted as hanging 4.5 s after its percentage last changed, if a later report had shown the same percentage, even milliseconds later; silence after that was taken for a lack of progress, and the stop was carried out once the worker was reachable again.

Change: the time without progress ends at the worker's last report. So that a hang is not noticed later than before, a renewal waits at the worker no longer than until a run without progress is due.

Evidence: TestRunOnASilentWorkerIsNotGivenUpForLackOfProgress fails on the code before.

--- a/internal/dispatch/renewals.go
+++ b/internal/dispatch/renewals.go
@@ -5,6 +5,10 @@
 const (
 	// renewalWait is how long a renewal waits at the worker for the end of a run; the longest wait that workers allow.
 	renewalWait = 2 * time.Second
+	// minRenewalWait bounds the rate of renewals to a worker whose runs are checked for progress.
+	minRenewalWait = 100 * time.Millisecond
+	// hangCheckMargin makes the report that shows whether a run hangs come after hangTimeout.
+	hangCheckMargin = 20 * time.Millisecond
 )
 
 // NextRenewal returns the renewal to send to a worker now; false if none is due.
@@ -24,7 +28,7 @@
 	}
 	if busy && w.contacted && len(w.unackedEnds) == 0 && !w.renewalDue && !w.unresponsive {
 		// With unacknowledged ends the worker would respond immediately.
-		renewal.Wait = renewalWait
+		renewal.Wait = w.timeToHangCheck(now)
 	}
 	if busy && w.contacted && !w.unresponsive {
 		// A renewal without a response may have taken effect. An unresponsive worker gets no further ones, so that its leases expire.
@@ -35,6 +39,19 @@
 	return renewal, true
 }
 
+// timeToHangCheck returns how long a renewal may wait at the worker, so that its report comes when a run that makes no progress is due to be moved.
+func (w *worker) timeToHangCheck(now time.Duration) time.Duration {
+	wait := renewalWait
+	for _, a := range w.allocs {
+		if t := a.task; t != nil && t.phase == running && t.percent < 100 && !t.group.spec().LongRunning {
+			if due := t.percentChangedAt + hangTimeout + hangCheckMargin - now; due > 0 {
+				wait = min(wait, due)
+			}
+		}
+	}
+	return max(wait, minRenewalWait)
+}
+
 // requestRenewal makes a renewal that returns immediately due, and wakes the worker's polling goroutine.
 func (c *Core) requestRenewal(w *worker) {
 	w.renewalDue = true
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -76,7 +76,7 @@
 	case t.phase != running || t.group.spec().LongRunning:
 	case w.Draining && c.mustLeaveDraining(w, t, now):
 		return runActionLeave
-	case w.contacted && t.percent < 100 && w.lastContact > t.percentChangedAt && now-t.percentChangedAt > hangTimeout && t.group.allInPhase(running):
+	case w.contacted && t.percent < 100 && w.lastContact-t.percentChangedAt > hangTimeout && t.group.allInPhase(running):
 		return runActionMove
 	}
 	return runActionNone
