Learn run times from whole runs on preferred racks only

Which jobs are served first, what may be stopped for urgent work and when a run on a leaving worker is stopped all depend on the expected run time of a queue.

Cause: the progress in a run's first report was taken for the progress from which it resumed. So short tasks, half done at their first report, were no samples, and a resumed task that ended before its first report was a sample of a whole run. Runs away from their rack, three times as long, were samples too, and the mean followed the last five.

Change: a run is resumed if its start carried a checkpoint. Samples are runs that this leader started from the beginning on the preferred rack; the mean covers about 20. The remaining time of a resumed run is counted from its first report.

Evidence: on the code before, TestTasksThatAreNearlyDoneAtTheirFirstReport- AreRunTimeSamples gets no estimate and TestResumedRunsAreNoRunTimeSamples one of 0.5 s.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -38,7 +38,9 @@
 	percent          int
 	percentChangedAt time.Duration // when percent last changed
 	startedAt        time.Duration // when the run was confirmed; of an inherited run an estimate from its progress
-	startPercent     int
+	resumed          bool          // the run started from a checkpoint
+	startPercent     int           // of a resumed run: its first reported progress
+	startPercentAt   time.Duration // when startPercent was reported
 	inherited        bool          // an earlier leader started the run
 	confirmed        bool          // the worker has confirmed the start or lists the run
 	confirmedAt      time.Duration // when the start was confirmed; a report requested later lists the run if it exists
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -285,11 +285,11 @@
 	t.group.saveCheckpoint(t, run.Checkpoint)
 	if run.Percent != t.percent {
 		switch {
-		case t.percent > 0 || t.startPercent > 0:
+		case t.percent > 0:
 		case t.inherited:
 			t.startedAt = now - time.Duration(float64(c.expectedRunTime(&t.group.job.Job, t.group.step))*float64(run.Percent)/100)
-		default:
-			t.startPercent = run.Percent
+		case t.resumed:
+			t.startPercent, t.startPercentAt = run.Percent, now
 		}
 		t.percent, t.percentChangedAt = run.Percent, now
 	}
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -46,6 +46,9 @@
 	}
 	c.dirty = true
 	if o == outcomeDone {
+		if c.isRunTimeSample(t) {
+			c.runTimeEstimates.addSample(g.job.Queue.Name, now-t.startedAt)
+		}
 		c.completeGroup(t, now)
 		return
 	}
@@ -77,9 +80,6 @@
 	j := g.job
 	s := j.steps[g.occurrence][g.step]
 	s.tasksLeft -= len(g.tasks)
-	if !t.inherited {
-		c.runTimeEstimates.addSample(j, now-t.startedAt, t.startPercent)
-	}
 	if s.tasksLeft > 0 || j.ending() {
 		return
 	}
@@ -192,7 +192,8 @@
 		w := workers[i]
 		t.worker, t.incarnation, t.startedAt = w.ID, w.Incarnation, now
 		c.setPhase(t, assigned)
-		t.percent, t.startPercent, t.inherited, t.confirmed, t.stopConfirmed = 0, 0, false, false, false
+		t.percent, t.startPercent, t.startPercentAt = 0, 0, 0
+		t.resumed, t.inherited, t.confirmed, t.stopConfirmed = g.resumeCheckpoint() != "", false, false, false
 		w.lastPlacementAt = now
 		w.setAlloc(t.key(), &alloc{task: t, need: g.spec().Need})
 		c.put(t.row())
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -111,8 +111,9 @@
 // remaining estimates the remaining time of a run: from its progress, or from the expected run time while there is too little progress.
 func (c *Core) remaining(t *task, now time.Duration) time.Duration {
 	ran := now - t.startedAt
-	if gained := t.percent - t.startPercent; gained > 5 && t.percentChangedAt > t.startedAt {
-		perPercent := float64(t.percentChangedAt-t.startedAt) / float64(gained)
+	since := max(t.startedAt, t.startPercentAt)
+	if gained := t.percent - t.startPercent; gained > 5 && t.percentChangedAt > since {
+		perPercent := float64(t.percentChangedAt-since) / float64(gained)
 		return time.Duration(float64(100-t.percent)*perPercent) - (now - t.percentChangedAt)
 	}
 	return max(0, c.expectedRunTime(&t.group.job.Job, t.group.step)-ran)
