Serve the newest jobs in time first while older ones miss their objective

Cause: jobs that may still be in time were served oldest first. While more arrives than can be done, the oldest are those that are about to miss their objective, so that each gets its turn at that moment.

Change: while a job that waits at a priority will miss its objective, those of that priority that will meet theirs are served newest first. Without such a job, and for urgent work, whose wait for a guarantee is bounded, the order stays oldest first. Jobs whose work has begun come before all new ones, as before.

Served worse: of the jobs in time, those that have waited longest.

--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -137,3 +138,43 @@
 	}
 	must.Positive(t, checked)
 }
+
+// Guards against overload in which nearly all jobs miss their objective by little, because the oldest come first.
+func TestSustainedOverloadLeavesJobsInTime(t *testing.T) {
+	const (
+		jobs     = 80
+		interval = time.Second // half of the mean run time
+	)
+	s := newSystem(t, 1, 1, 1)
+	s.run(2 * testStep)
+	for n := range jobs {
+		s.submit(simpleJob(fmt.Sprintf("j%d", n), "normal", 1, 1, batch.Resources{MilliCores: 1000, Accelerators: 8}))
+		s.run(interval)
+	}
+	s.mustHaveNoViolations()
+	done := 0
+	for key, n := range s.leaders[0].core.counts.Jobs {
+		if key.State == string(batch.Completed) && key.ObjectiveStatus == inTime.String() {
+			done += n
+		}
+	}
+	must.Between(t, jobs*2/5, done, jobs)
+}
+
+// Guards against newer jobs that overtake older ones although all will meet their objective.
+func TestOldestJobsComeFirstWithoutOverload(t *testing.T) {
+	order := func(urgency, worth float64) []string {
+		ready := []readyGroups{{order: requestOrder{urgency: urgency, worth: worthInTime, acceptedMS: 2, seq: 2}},
+			{order: requestOrder{urgency: urgency, worth: worthInTime, acceptedMS: 1, seq: 1}}, {order: requestOrder{urgency: urgency, worth: worth, acceptedMS: 0}}}
+		markOverload(ready)
+		slices.SortFunc(ready, func(a, b readyGroups) int { return a.order.compare(b.order) })
+		var out []string
+		for _, r := range ready {
+			out = append(out, fmt.Sprint(r.order.acceptedMS))
+		}
+		return out
+	}
+	must.Eq(t, []string{"0", "1", "2"}, order(1, worthInTime))
+	must.Eq(t, []string{"2", "1", "0"}, order(1, lateWorthShare))
+	must.Eq(t, []string{"1", "2", "0"}, order(0, lateWorthShare))
+}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -5,6 +5,9 @@
 	"time"
 )
 
+// worthInTime is the worth of the remaining work of a new job that meets its objective.
+const worthInTime = 1
+
 // lateWorthShare is the worth of a late result relative to that of a result in time: between 0.2 and 0.3 for all kinds of requests of the users.
 const lateWorthShare = 0.25
 
@@ -34,12 +37,12 @@
 // share returns the expected worth of the job relative to that of a result in time, if tasks of the step start now.
 func (w *occurrenceWorth) share(step int) float64 {
 	if w.job.Steps[step].LongRunning {
-		return 1 // it earns while it runs
+		return worthInTime // it earns while it runs
 	}
 	age, objective := w.core.age(w.job, w.occurrence, w.now)+w.paths[step], w.job.objectiveFor(slices.Max(w.paths))
 	switch {
 	case age <= objective:
-		return 1
+		return worthInTime
 	case age <= lateFactor*objective:
 		return lateWorthShare
 	}
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -18,11 +18,12 @@
 	order  requestOrder
 }
 
-// requestOrder holds what orders requests: priority, then requests within a guarantee, then the worth of the job's remaining work, then age.
+// requestOrder holds what orders requests: priority, then requests within a guarantee, then the worth of the job's remaining work, then age; see compareAge.
 type requestOrder struct {
 	urgency          float64
 	beyondGuarantee  bool
 	worth            float64 // of the job's remaining work, see occurrenceWorth
+	overloaded       bool    // see markOverload
 	acceptedMS       int64
 	seq              int // of the job
 	occurrence, step int
@@ -34,7 +35,32 @@
 		return cmp.Or(cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.step, b.step), cmp.Compare(a.failures, b.failures))
 	}
 	return cmp.Or(cmp.Compare(a.urgency, b.urgency), compareBool(a.beyondGuarantee, b.beyondGuarantee), -cmp.Compare(a.worth, b.worth),
-		cmp.Compare(a.acceptedMS, b.acceptedMS), cmp.Compare(a.seq, b.seq))
+		a.compareAge(b))
+}
+
+// compareAge orders equally worthy jobs: oldest first, but under overload those that will meet their objective newest first, since the oldest of them would
+// take turns at just missing it.
+func (a requestOrder) compareAge(b requestOrder) int {
+	oldestFirst := cmp.Or(cmp.Compare(a.acceptedMS, b.acceptedMS), cmp.Compare(a.seq, b.seq))
+	if a.overloaded && a.worth >= worthInTime {
+		return -oldestFirst
+	}
+	return oldestFirst
+}
+
+// markOverload marks the requests of the priorities that are overloaded: a job that waits will miss its objective. Urgent requests are left out, since their
+// wait for a guarantee is bounded.
+func markOverload(ready []readyGroups) {
+	overloaded := map[float64]bool{}
+	for _, r := range ready {
+		if r.order.worth < worthInTime {
+			overloaded[r.order.urgency] = true
+		}
+	}
+	for i := range ready {
+		o := &ready[i].order
+		o.overloaded = o.urgency > 0 && overloaded[o.urgency]
+	}
 }
 
 // compareBool orders false before true.
@@ -77,6 +103,7 @@
 
 // addRequests adds the ready groups in the order of their urgency. Equal groups of a step are one request.
 func (c *Core) addRequests(in *planInput, ready []readyGroups, guaranteed map[*job]bool, now time.Duration) {
+	markOverload(ready)
 	slices.SortStableFunc(ready, func(a, b readyGroups) int { return a.order.compare(b.order) })
 	var groups []*taskGroup
 	for _, r := range ready {
