Give the requests of a scheduling cycle a consistent order

Requests of one job were ordered by occurrence and step, those of different jobs by worth first. With two steps of a job on both sides of a third request the order contradicted itself (A before B before C before A), so that who was served first depended on the order in which the sort compared them.

Change: one lexicographic order; worth comes before occurrence and step for requests of the same job too.

Evidence: TestOrderOfRequestsIsConsistent (rapid) fails on the code before.

--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -31,11 +31,8 @@
 }
 
 func (a requestOrder) compare(b requestOrder) int {
-	if a.seq == b.seq {
-		return cmp.Or(cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.step, b.step), cmp.Compare(a.failures, b.failures))
-	}
 	return cmp.Or(cmp.Compare(a.urgency, b.urgency), compareBool(a.beyondGuarantee, b.beyondGuarantee), -cmp.Compare(a.worth, b.worth),
-		a.compareAge(b))
+		a.compareAge(b), cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.step, b.step), cmp.Compare(a.failures, b.failures))
 }
 
 // compareAge orders equally worthy jobs: oldest first, but under overload those that will meet their objective newest first, since the oldest of them would
--- /dev/null
+++ b/internal/dispatch/requests_test.go
@@ -0,0 +1,27 @@
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// drawOrder draws the order of a request. Requests of a job have the same age.
+func drawOrder(t *rapid.T, name string) requestOrder {
+	seq := rapid.IntRange(0, 2).Draw(t, name+" job")
+	o := requestOrder{urgency: rapid.SampledFrom([]float64{0, 0.5, 1}).Draw(t, name+" urgency"), beyondGuarantee: rapid.Bool().Draw(t, name+" beyond"),
+		worth: rapid.SampledFrom([]float64{0, lateWorthShare, worthInTime, 4}).Draw(t, name+" worth"), seq: seq, acceptedMS: int64(seq / 2),
+		occurrence: rapid.IntRange(0, 1).Draw(t, name+" occurrence"), step: rapid.IntRange(0, 1).Draw(t, name+" step")}
+	o.overloaded = o.urgency > 0
+	return o
+}
+
+// Guards against an order of requests that contradicts itself, so that who comes first depends on chance.
+func TestOrderOfRequestsIsConsistent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawOrder(t, "a"), drawOrder(t, "b"), drawOrder(t, "c")
+		must.Eq(t, a.compare(b), -b.compare(a))
+		must.True(t, a.compare(b) > 0 || b.compare(c) > 0 || a.compare(c) <= 0, must.Sprintf("%+v, %+v, %+v", a, b, c))
+	})
+}
