--- a/internal/dispatch/objective.go
+++ b/internal/dispatch/objective.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // objectiveStatus is how the age of a job compares with its objective.
 type objectiveStatus uint8
@@ -22,7 +19,7 @@
 
 // objective is the time in which a job should be done: a multiple of its critical path, and a fixed part.
 func (c *Core) objective(j *job) time.Duration {
-	return j.objectiveFor(slices.Max(c.remainingPaths(j)))
+	return j.objectiveFor(longestOf(c.remainingPaths(j)))
 }
 
 // objectiveFor returns the objective of a job with the given critical path.
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -1,9 +1,6 @@
 package dispatch
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // worthInTime is the worth of the remaining work of a new job that meets its objective.
 const worthInTime = 1
@@ -11,6 +8,9 @@
 // lateWorthShare is the worth of a late result relative to that of a result in time: between 0.2 and 0.3 for all kinds of requests of the users.
 const lateWorthShare = 0.25
 
+// minRemainingShare bounds the worth of jobs of which nearly nothing is left, or only tasks that need no resources.
+const minRemainingShare = 0.01
+
 // occurrenceWorth computes what the rest of an occurrence of a job is worth, at one time.
 type occurrenceWorth struct {
 	core       *Core
@@ -28,10 +28,7 @@
 	if w.paths == nil {
 		w.paths, w.remaining = w.core.remainingPaths(w.job), w.core.remainingShare(w.job, w.occurrence)
 	}
-	if w.remaining == 0 {
-		return 0
-	}
-	return w.share(step) / w.remaining
+	return w.share(step) / max(w.remaining, minRemainingShare)
 }
 
 // share returns the expected worth of the job relative to that of a result in time, if tasks of the step start now.
@@ -39,7 +36,7 @@
 	if w.job.Steps[step].LongRunning {
 		return worthInTime // it earns while it runs
 	}
-	age, objective := w.core.age(w.job, w.occurrence, w.now)+w.paths[step], w.job.objectiveFor(slices.Max(w.paths))
+	age, objective := w.core.age(w.job, w.occurrence, w.now)+w.paths[step], w.job.objectiveFor(longestOf(w.paths))
 	switch {
 	case age <= objective:
 		return worthInTime
@@ -69,6 +66,15 @@
 	return paths
 }
 
+// longestOf returns the longest of some paths, 0 if there are none.
+func longestOf(paths []time.Duration) time.Duration {
+	longest := time.Duration(0)
+	for _, p := range paths {
+		longest = max(longest, p)
+	}
+	return longest
+}
+
 // remainingShare returns the part of the work of an occurrence of a job that no run does or has done, from 0 to 1.
 func (c *Core) remainingShare(j *job, occurrence int) float64 {
 	total, remaining := 0.0, 0.0
--- a/internal/dispatch/progress_test.go
+++ b/internal/dispatch/progress_test.go
@@ -76,3 +76,15 @@
 	must.Eq(t, 5*time.Second, c.age(c.jobs["j"], 1, 2*time.Minute))
 	must.Eq(t, 2*time.Minute, c.age(&job{Job: simpleJob("k", "batch", 2, 1, smallNeed)}, 0, 2*time.Minute))
 }
+
+// Guards against a job that is served last because only tasks without needs are left, and against a panic on a job without steps.
+func TestWorthOfJobsWithoutRemainingWork(t *testing.T) {
+	s := newSystem(t, 1, 1, 1)
+	c := s.leaders[0].core
+	j := simpleJob("j", "batch", 2, 1, smallNeed)
+	j.Steps = append(j.Steps, batch.Step{Tasks: 1, Estimate: time.Second, After: []int{0}})
+	c.AddJob(j, s.fleet.now)
+	c.setPhase(c.jobs["j"].steps[0][0].groups[0].tasks[0], done)
+	must.Eq(t, 100, (&occurrenceWorth{core: c, job: c.jobs["j"], now: s.fleet.now}).ofStep(1))
+	must.Zero(t, c.objective(&job{}))
+}
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -15,8 +15,8 @@
 	stopRetryInterval = 500 * time.Millisecond
 	// fullWorkerPause is the time without new starts on a worker that refused one for insufficient capacity, so that its next report comes first.
 	fullWorkerPause = 300 * time.Millisecond
-	// hangTimeout is the time without progress, as reports of the worker show it, after which a run is moved. It exceeds the time in which a task that is slowed down tenfold advances
-	// by one percent (1.1 s for the longest tasks) plus two polls of the worker.
+	// hangTimeout is the time without progress, as reports of the worker show it, after which a run is moved. It exceeds the time in which a task that is slowed
+	// down tenfold advances by one percent (1.1 s for the longest tasks) plus two polls of the worker.
 	hangTimeout = 4500 * time.Millisecond
 )
 
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -140,7 +140,7 @@
 		r.Count = len(g.tasks)
 	}
 	r.MaySpanRacks = r.MayPreempt && r.WithinGuarantee && waited > spanRacksAfter
-	r.SpreadCost = c.spreadCost(g)
+	r.SpreadCost = c.spreadCost(g) * float64(len(groups))
 	r.PreemptionBudget = c.preemptionBudget(g, guaranteed[g.job], waited)
 	r.BestEffort = spec.Checkpoints && g.job.Queue.Priority > 1
 	r.Interrupted, r.JobIdle = g.run > 0, g.job.idle()
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -193,7 +193,7 @@
 		t.worker, t.incarnation, t.startedAt = w.ID, w.Incarnation, now
 		c.setPhase(t, assigned)
 		t.percent, t.startPercent, t.startPercentAt = 0, 0, 0
-		t.resumed, t.inherited, t.confirmed, t.stopConfirmed = g.resumeCheckpoint() != "", false, false, false
+		t.inherited, t.confirmed, t.stopConfirmed = false, false, false
 		w.lastPlacementAt = now
 		w.setAlloc(t.key(), &alloc{task: t, need: g.spec().Need})
 		c.put(t.row())
@@ -224,18 +224,20 @@
 	}
 	c.setPhase(t, ordered)
 	t.startedAt, t.percentChangedAt = now, now
+	resume := t.group.resumeCheckpoint()
+	t.resumed = resume != ""
 	if t.group.suspected() {
 		w.closedUntil = now + crashWindow
 	}
 	lease := w.minClock(now) + startLease
 	w.leaseEnd = max(w.leaseEnd, lease)
-	c.logTask(t).WithFields(logrus.Fields{"waited_ms": (now - t.group.readySince).Milliseconds(), "resume": t.checkpoint != "",
+	c.logTask(t).WithFields(logrus.Fields{"waited_ms": (now - t.group.readySince).Milliseconds(), "resume": t.resumed,
 		"priority": t.group.job.Queue.Priority, "standing": c.objectiveStatus(t.group.job, now).String(), "core_equivalents": int(t.group.spec().Need.CoreEquivalents()),
 		"gang_size": len(t.group.tasks)}).Info("starting run")
 	c.counts.Starts = append(c.counts.Starts, StartCount{t.group.job.Queue.Priority, now - t.group.readySince})
 	c.pollWakeups = append(c.pollWakeups, w.ID)
 	c.orders = append(c.orders, Order{Worker: w.Worker, Epoch: c.epoch, Task: t.name, Run: run, Payload: t.group.job.Payload,
-		LeaseEnd: lease, Resume: t.group.resumeCheckpoint(), Ticket: t.ticketFor(w, now)})
+		LeaseEnd: lease, Resume: resume, Ticket: t.ticketFor(w, now)})
 }
 
 // holds reports whether the worker has the capacity for its runs in each resource that need names, where need is that of one of these runs.
