Review: tasks that serve never start while best-effort tasks run on all workers

Shows the known fault of the decision code on a running system and by a rule that nothing speaks against: an urgent job within its tenant's guarantee never begins, since each worker runs a small best-effort task of another tenant, which is neither stopped nor paced (RECLAIM).

--- a/review/standin/env.go
+++ b/review/standin/env.go
@@ -75,16 +75,20 @@
 
 // stepSpec and jobSpec are a submission, spelled as on the wire.
 type stepSpec struct {
-	Count       int    `json:"Count"`
-	CPU         int    `json:"Cpu,omitempty"`
-	MemMb       int    `json:"MemMb,omitempty"`
-	Gpu         int    `json:"Gpu,omitempty"`
-	EstimateMs  int    `json:"EstimateMs,omitempty"`
-	After       []int  `json:"After,omitempty"`
-	Checkpoint  bool   `json:"Checkpoint,omitempty"`
-	LongRunning bool   `json:"LongRunning,omitempty"`
-	MayMiss     int    `json:"MayMiss,omitempty"`
-	Requires    string `json:"Requires,omitempty"`
+	Count        int    `json:"Count"`
+	CPU          int    `json:"Cpu,omitempty"`
+	MemMb        int    `json:"MemMb,omitempty"`
+	Gpu          int    `json:"Gpu,omitempty"`
+	EstimateMs   int    `json:"EstimateMs,omitempty"`
+	After        []int  `json:"After,omitempty"`
+	Checkpoint   bool   `json:"Checkpoint,omitempty"`
+	LongRunning  bool   `json:"LongRunning,omitempty"`
+	MayMiss      int    `json:"MayMiss,omitempty"`
+	Fills        bool   `json:"Fills,omitempty"`
+	TargetMs     int    `json:"TargetMs,omitempty"`
+	AntiAffinity int    `json:"AntiAffinity,omitempty"`
+	Image        string `json:"Image,omitempty"`
+	Requires     string `json:"Requires,omitempty"`
 }
 
 type jobSpec struct {
@@ -95,6 +99,14 @@
 	RunCount   int        `json:"RunCount,omitempty"`
 }
 
+// room is what a work item takes of its executor's capacity: the Cpu of one that fills doesn't count.
+func (s stepSpec) room() size {
+	if s.Fills {
+		return size{mem: s.MemMb, gpu: s.Gpu}
+	}
+	return size{cpu: s.CPU, mem: s.MemMb, gpu: s.Gpu}
+}
+
 func newEnv(record string, trouble bool) (*env, error) {
 	root, err := os.Getwd()
 	if err != nil {
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -264,9 +264,10 @@
 	if !known || text != b.Spec {
 		w.fleet.env.logf("executor %s: start of %s that nobody sent, or with another Spec", w.id, b.Task)
 	}
-	used := stepSpec{}
+	used := spec.room()
 	for _, r := range w.running {
-		used.CPU, used.MemMb, used.Gpu = used.CPU+r.spec.CPU, used.MemMb+r.spec.MemMb, used.Gpu+r.spec.Gpu
+		room := r.spec.room()
+		used.cpu, used.mem, used.gpu = used.cpu+room.cpu, used.mem+room.mem, used.gpu+room.gpu
 	}
 	switch {
 	case b.Run <= w.highest[b.Task] || w.running[b.Task] != nil:
@@ -274,7 +275,7 @@
 		return "old"
 	case time.Duration(b.UntilMs)*time.Millisecond <= w.clock():
 		return "late"
-	case used.CPU+spec.CPU > w.size.cpu || used.MemMb+spec.MemMb > w.size.mem || used.Gpu+spec.Gpu > w.size.gpu:
+	case used.cpu > w.size.cpu || used.mem > w.size.mem || used.gpu > w.size.gpu:
 		w.extend(b.UntilMs)
 		return "room"
 	}
