Keep state of open occurrences of scheduled jobs only

Each leader was ended for its memory, and so was the next one while it restored the same jobs.

Cause: insert created the state of each step of each occurrence when a job was added.

Change: a job holds its open occurrences: due, and not complete. The row of its state tells how many have been opened and which of them are unfinished; once that is stored, the state and the task rows of a complete occurrence are dropped. Metrics open_occurrences and tracked_tasks show what the leader keeps.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -100,6 +100,15 @@
 	return j.Schedule.Count
 }
 
+// TaskCount returns the number of tasks of one occurrence.
+func (j *Job) TaskCount() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Tasks
+	}
+	return n
+}
+
 // Due returns when an occurrence may start, Unix milliseconds; 0 means immediately.
 func (j *Job) Due(occurrence int) int64 {
 	if j.Schedule == nil {
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -75,7 +75,7 @@
 		return nil
 	}
 	out := map[int]bool{}
-	s := g.job.steps[g.occurrence][g.step]
+	s := g.state
 	if s.advice == nil {
 		return out
 	}
@@ -94,7 +94,7 @@
 
 // ticketFor returns the valid ticket for a start of the task on the worker, or an empty string.
 func (t *task) ticketFor(w *worker, now time.Duration) string {
-	s := t.group.job.steps[t.group.occurrence][t.group.step]
+	s := t.group.state
 	if s.advice == nil {
 		return ""
 	}
@@ -118,9 +118,9 @@
 		if j.ending() || !c.needsTicket(j) {
 			continue
 		}
-		for k, steps := range j.steps {
-			for i, s := range steps {
-				if req, ok := c.adviceRequestFor(j, k, i, s, now); ok {
+		for _, o := range j.occurrences {
+			for i, s := range o.steps {
+				if req, ok := c.adviceRequestFor(j, o.index, i, s, now); ok {
 					req.Via, s.advice.inFlight = via, true
 					c.nextAdviceAt[via] = requestInFlight
 					return req, true
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -220,14 +220,7 @@
 func (c *Core) insert(j batch.Job, now time.Duration) *job {
 	n := &job{Job: j, seq: c.nextSeq, state: batch.Pending, acceptedAt: now}
 	c.nextSeq++
-	n.stepsLeft = j.Occurrences() * len(j.Steps)
-	n.steps = make([][]*stepState, j.Occurrences())
-	for k := range n.steps {
-		n.steps[k] = make([]*stepState, len(j.Steps))
-		for i, s := range j.Steps {
-			n.steps[k][i] = &stepState{tasksLeft: s.Tasks}
-		}
-	}
+	n.occurrencesLeft = j.Occurrences()
 	c.jobs[j.ID] = n
 	c.liveJobs = append(c.liveJobs, n)
 	c.dirty = true
@@ -254,8 +247,8 @@
 	c.put(stateRow(j.ID))
 	c.afterStored(stateRow(j.ID), func() { c.finalizeJob(j) })
 	c.logJob(j).WithFields(logrus.Fields{"after_ms": (now - j.acceptedAt).Milliseconds(), "objective_ms": c.objective(j).Milliseconds(), "standing": status.String()}).Info("job ended")
-	for _, steps := range j.steps {
-		for _, s := range steps {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
 			for _, g := range s.groups {
 				c.stopGroup(g, now, "job_ended")
 			}
@@ -274,14 +267,8 @@
 			break
 		}
 	}
-	for k, steps := range j.steps {
-		for s, st := range steps {
-			if st.opened {
-				for chunk := 0; chunk*tasksPerRow < j.Steps[s].Tasks; chunk++ {
-					c.remove(rowID{kind: taskRows, job: j.ID, occurrence: k, step: s, chunk: chunk})
-				}
-			}
-		}
+	for _, o := range j.occurrences {
+		c.removeTaskRows(j, o)
 	}
 	c.finalized = append(c.finalized, FinalizedJob{j.ID, j.Queue.Name})
 }
@@ -295,29 +282,18 @@
 	if j.ending() {
 		return
 	}
-	for k, steps := range j.steps {
-		for i, s := range steps {
-			if !s.opened && c.mayOpen(j, k, i) {
-				c.openStep(j, k, i, now)
+	c.openDueOccurrences(j)
+	for _, o := range j.occurrences {
+		for i, s := range o.steps {
+			if !s.opened && o.predecessorsDone(&j.Steps[i]) {
+				c.openStep(j, o, i, now)
 			}
 		}
 	}
 }
 
-func (c *Core) mayOpen(j *job, occurrence, step int) bool {
-	if due := j.Due(occurrence); due > 0 && due > c.wallMS() {
-		return false
-	}
-	for _, a := range j.Steps[step].After {
-		if j.steps[occurrence][a].tasksLeft > 0 {
-			return false
-		}
-	}
-	return true
-}
-
-func (c *Core) openStep(j *job, occurrence, step int, now time.Duration) {
-	s, spec := j.steps[occurrence][step], &j.Steps[step]
+func (c *Core) openStep(j *job, o *occurrence, step int, now time.Duration) {
+	s, spec := o.steps[step], &j.Steps[step]
 	s.opened, s.openedAt, s.waiting = true, now, spec.Tasks
 	c.dirty = true
 	ready := now
@@ -325,18 +301,18 @@
 		ready = j.acceptedAt
 	}
 	if spec.Gang {
-		s.groups = []*taskGroup{newTaskGroup(j, occurrence, step, 0, spec.Tasks, ready)}
+		s.groups = []*taskGroup{newTaskGroup(j, o, step, 0, spec.Tasks, ready)}
 		return
 	}
 	for i := range spec.Tasks {
-		s.groups = append(s.groups, newTaskGroup(j, occurrence, step, i, 1, ready))
+		s.groups = append(s.groups, newTaskGroup(j, o, step, i, 1, ready))
 	}
 }
 
-func newTaskGroup(j *job, occurrence, step, first, count int, now time.Duration) *taskGroup {
-	g := &taskGroup{job: j, occurrence: occurrence, step: step, gang: j.Steps[step].Gang, readySince: now, avoidedWorkers: map[string]bool{}}
+func newTaskGroup(j *job, o *occurrence, step, first, count int, now time.Duration) *taskGroup {
+	g := &taskGroup{job: j, occurrence: o.index, step: step, state: o.steps[step], gang: j.Steps[step].Gang, readySince: now, avoidedWorkers: map[string]bool{}}
 	for i := first; i < first+count; i++ {
-		id := batch.TaskID{Job: j.ID, Occurrence: occurrence, Step: step, Index: i}
+		id := batch.TaskID{Job: j.ID, Occurrence: o.index, Step: step, Index: i}
 		g.tasks = append(g.tasks, &task{id: id, name: id.String(), group: g})
 	}
 	g.id = g.tasks[0].name
@@ -350,10 +326,14 @@
 		return nil
 	}
 	j := c.jobs[id.Job]
-	if j == nil || id.Occurrence >= len(j.steps) || id.Step >= len(j.Steps) {
+	if j == nil || id.Step >= len(j.Steps) {
+		return nil
+	}
+	o := j.occurrence(id.Occurrence)
+	if o == nil {
 		return nil
 	}
-	groups := j.steps[id.Occurrence][id.Step].groups
+	groups := o.steps[id.Step].groups
 	if j.Steps[id.Step].Gang {
 		if len(groups) == 1 && id.Index < len(groups[0].tasks) {
 			return groups[0].tasks[id.Index]
--- a/internal/dispatch/counts.go
+++ b/internal/dispatch/counts.go
@@ -44,6 +44,8 @@
 // Overview is the state of a leader at one time.
 type Overview struct {
 	Jobs    int             // live jobs
+	Open    int             // open occurrences of live jobs; a job without a schedule has one
+	Tasks   int             // tasks of steps that have been opened, of live jobs
 	Waiting map[int]int     // tasks that are ready but not placed, by priority
 	Free    map[string]int  // free accelerators of usable workers, by failure domain
 	Usable  map[string]int  // workers that may get new work, by failure domain
@@ -57,9 +59,11 @@
 func (c *Core) Overview(now time.Duration) Overview {
 	o := Overview{Jobs: len(c.liveJobs), Waiting: map[int]int{}, Free: map[string]int{}, Usable: map[string]int{}, Workers: map[string]int{}, Used: map[int]float64{}}
 	for _, j := range c.liveJobs {
-		for _, steps := range j.steps {
-			for _, s := range steps {
+		o.Open += len(j.occurrences)
+		for _, occ := range j.occurrences {
+			for _, s := range occ.steps {
 				for _, g := range s.groups {
+					o.Tasks += len(g.tasks)
 					if g.ready() {
 						o.Waiting[j.Queue.Priority] += len(g.tasks)
 					}
--- a/internal/dispatch/crashes_test.go
+++ b/internal/dispatch/crashes_test.go
@@ -195,7 +195,7 @@
 	}
 	s.submit(simpleJob("j", "normal", 1, 3, wholeWorker))
 	s.run(crashReturnTime + 200*time.Millisecond)
-	for _, g := range s.leaders[0].core.jobs["j"].steps[0][0].groups {
+	for _, g := range s.leaders[0].core.jobs["j"].occurrences[0].steps[0].groups {
 		must.False(t, g.suspected())
 	}
 	s.run(10 * time.Second)
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -251,12 +251,15 @@
 	}
 	for _, a := range step.After {
 		for i := range j.Steps[a].Tasks {
-			before := batch.TaskID{Job: id.Job, Step: a, Index: i}
+			before := batch.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: a, Index: i}
 			if !f.everDone[f.groupOf(before)] {
 				f.addViolation("start of %s before %s was done", o.Task, before)
 			}
 		}
 	}
+	if due := j.Due(id.Occurrence); due > f.now.Milliseconds() {
+		f.addViolation("start of %s, which is due at %d ms", o.Task, due)
+	}
 	if f.crashes[o.Task] >= 3 {
 		f.lateStarts[o.Task]++
 		if f.lateStarts[o.Task] >= 3 {
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -381,7 +381,7 @@
 		return true
 	}
 	unavailable := 0
-	for _, other := range g.job.steps[g.occurrence][g.step].groups {
+	for _, other := range g.state.groups {
 		for _, t := range other.tasks {
 			if t.phase != running || t.percent < startedPercent {
 				unavailable++
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -54,6 +54,7 @@
 	job            *job
 	occurrence     int
 	step           int
+	state          *stepState // of its step and occurrence
 	tasks          []*task
 	gang           bool
 	run            int   // number of the current or last run
@@ -70,14 +71,12 @@
 
 func (g *taskGroup) spec() *batch.Step { return &g.job.Steps[g.step] }
 
-func (g *taskGroup) stepState() *stepState { return g.job.steps[g.occurrence][g.step] }
-
 // inUse reports whether a run of the task is assigned or may exist.
 func (p phase) inUse() bool { return p == assigned || p.mayBeRunning() }
 
 // setPhase changes the phase of a task.
 func (c *Core) setPhase(t *task, p phase) {
-	s := t.group.stepState()
+	s := t.group.state
 	s.count(t.phase, -1)
 	s.count(p, 1)
 	t.phase = p
@@ -153,9 +152,11 @@
 	state      batch.State
 	cancelled  bool
 	acceptedAt time.Duration // when it was accepted or added by this leader; may be before the start of the clock
-	steps      [][]*stepState
-	stepsLeft  int
 	endedAt    time.Duration
+
+	occurrences     []*occurrence // the open ones, by index
+	nextOccurrence  int           // index of the first occurrence that has not been opened
+	occurrencesLeft int           // occurrences that aren't complete, including those that aren't open yet
 }
 
 // ending reports whether the tasks of the job may no longer start.
@@ -163,8 +164,8 @@
 
 // idle reports whether no task of the job is assigned or may be running.
 func (j *job) idle() bool {
-	for _, steps := range j.steps {
-		for _, s := range steps {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
 			if s.active > 0 {
 				return false
 			}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -45,9 +45,9 @@
 			continue
 		}
 		service := c.serviceOf(j)
-		for k, steps := range j.steps {
-			worth := &occurrenceWorth{core: c, job: j, occurrence: k, now: now}
-			for _, s := range steps {
+		for _, o := range j.occurrences {
+			worth := &occurrenceWorth{core: c, job: j, occurrence: o, now: now}
+			for _, s := range o.steps {
 				byService[service] = append(byService[service], c.readyGroupsOf(j, s, worth, guaranteed[j], now)...)
 			}
 		}
@@ -255,8 +255,8 @@
 		if j.Queue.Priority == 0 && guaranteed[j] {
 			continue
 		}
-		for _, steps := range j.steps {
-			for _, s := range steps {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
 				if s.active == 0 {
 					continue
 				}
--- a/internal/dispatch/prioritylog.go
+++ b/internal/dispatch/prioritylog.go
@@ -52,11 +52,11 @@
 		return
 	}
 	waits, mostlyDone := false, false
-	for k, steps := range j.steps {
-		for _, s := range steps {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
 			if s.waiting > 0 {
 				p.waitingTasks += s.waiting
-				waits, mostlyDone = true, mostlyDone || c.remainingShare(j, k) < mostlyDoneShare
+				waits, mostlyDone = true, mostlyDone || c.remainingShare(j, o) < mostlyDoneShare
 			}
 		}
 	}
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -15,7 +15,7 @@
 type occurrenceWorth struct {
 	core       *Core
 	job        *job
-	occurrence int
+	occurrence *occurrence
 	now        time.Duration
 
 	paths     []time.Duration // of each step, the expected time from its start to the end of the job; nil until needed
@@ -36,7 +36,7 @@
 	if w.job.Steps[step].LongRunning {
 		return worthInTime // it earns while it runs
 	}
-	age, objective := w.core.age(w.job, w.occurrence, w.now)+w.paths[step], w.job.objectiveFor(longestOf(w.paths))
+	age, objective := w.core.age(w.job, w.occurrence.index, w.now)+w.paths[step], w.job.objectiveFor(longestOf(w.paths))
 	switch {
 	case age <= objective:
 		return worthInTime
@@ -76,9 +76,9 @@
 }
 
 // remainingShare returns the part of the work of an occurrence of a job that no run does or has done, from 0 to 1.
-func (c *Core) remainingShare(j *job, occurrence int) float64 {
+func (c *Core) remainingShare(j *job, o *occurrence) float64 {
 	total, remaining := 0.0, 0.0
-	for i, s := range j.steps[occurrence] {
+	for i, s := range o.steps {
 		spec := &j.Steps[i]
 		work := float64(spec.Tasks) * spec.Need.CoreEquivalents() * c.expectedRunTime(&j.Job, i).Seconds()
 		total += work
--- a/internal/dispatch/progress_test.go
+++ b/internal/dispatch/progress_test.go
@@ -57,9 +57,9 @@
 		n := c.jobs[j.ID]
 		n.acceptedAt = s.fleet.now - x.age
 		for i := range x.done {
-			c.setPhase(n.steps[0][0].groups[i].tasks[0], done)
+			c.setPhase(n.occurrences[0].steps[0].groups[i].tasks[0], done)
 		}
-		w := occurrenceWorth{core: c, job: n, now: s.fleet.now}
+		w := occurrenceWorth{core: c, job: n, occurrence: n.occurrences[0], now: s.fleet.now}
 		must.Eq(t, x.expected, w.ofStep(x.step), must.Sprint(x))
 	}
 }
@@ -84,7 +84,7 @@
 	j := simpleJob("j", "batch", 2, 1, smallNeed)
 	j.Steps = append(j.Steps, batch.Step{Tasks: 1, Estimate: time.Second, After: []int{0}})
 	c.AddJob(j, s.fleet.now)
-	c.setPhase(c.jobs["j"].steps[0][0].groups[0].tasks[0], done)
-	must.Eq(t, 100, (&occurrenceWorth{core: c, job: c.jobs["j"], now: s.fleet.now}).ofStep(1))
+	c.setPhase(c.jobs["j"].occurrences[0].steps[0].groups[0].tasks[0], done)
+	must.Eq(t, 100, (&occurrenceWorth{core: c, job: c.jobs["j"], occurrence: c.jobs["j"].occurrences[0], now: s.fleet.now}).ofStep(1))
 	must.Zero(t, c.objective(&job{}))
 }
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -59,7 +59,7 @@
 		c.requestRenewal(w)
 		c.closeRun(t, outcomeRefused, now)
 	case NoTicket:
-		if s := t.group.job.steps[t.group.occurrence][t.group.step]; s.advice != nil {
+		if s := t.group.state; s.advice != nil {
 			delete(s.advice.tickets, w.ID)
 		}
 		c.closeRun(t, outcomeRefused, now)
--- a/internal/dispatch/reports_test.go
+++ b/internal/dispatch/reports_test.go
@@ -28,7 +28,7 @@
 		s.run(10 * time.Second)
 		core := s.leaders[0].core
 		for _, job := range []string{"gang", "single"} {
-			for _, g := range core.jobs[job].steps[0][0].groups {
+			for _, g := range core.jobs[job].occurrences[0].steps[0].groups {
 				must.Eq(t, 1, g.run, must.Sprintf("%s after %v of silence", g.id, silence))
 				must.True(t, g.allInPhase(running))
 			}
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -160,7 +160,7 @@
 	if g.spec().MaxPerWorker == 0 {
 		return nil
 	}
-	step := g.job.steps[g.occurrence][g.step]
+	step := g.state
 	if counts, ok := in.tasksPerWorker[step]; ok {
 		return counts
 	}
--- a/internal/dispatch/restore.go
+++ b/internal/dispatch/restore.go
@@ -16,15 +16,15 @@
 // milliseconds.
 func (c *Core) Restore(jobs []batch.Job, states, tasks []rowstore.Row, now time.Duration, wallMS int64) {
 	c.now, c.timeOfDayMS = now, wallMS
-	storedStates := map[string]batch.State{}
+	storedStates := map[string]stateValue{}
 	for _, r := range states {
-		queue, s, _, ok := StateOf(r)
+		v, ok := decodeState(r)
 		if !ok {
 			continue
 		}
-		storedStates[r.Key.Key] = s
-		if s.Terminal() {
-			c.endedJobs[r.Key.Key] = endedJob{queue, s, now}
+		storedStates[r.Key.Key] = v
+		if v.State.Terminal() {
+			c.endedJobs[r.Key.Key] = endedJob{v.Queue, v.State, now}
 		}
 	}
 	for _, j := range jobs {
@@ -35,8 +35,9 @@
 		n := c.insert(j, now)
 		n.acceptedAt = now - ageOf(&j, wallMS)
 		n.state = batch.Pending
-		if s, ok := storedStates[j.ID]; ok {
-			n.state = s
+		if v, ok := storedStates[j.ID]; ok {
+			n.state = v.State
+			n.restoreOccurrences(v)
 		} else {
 			c.put(stateRow(j.ID))
 		}
@@ -61,9 +62,9 @@
 		c.restoreWave(r, id)
 		return
 	}
-	j, k, step, ok := c.findTaskRow(r.Key.Key)
+	j, o, step, ok := c.findTaskRow(r.Key.Key)
 	if !ok {
-		// This is a row of an ended job whose deletion was not stored.
+		// This is a row of an ended job or of a complete occurrence, whose deletion was not stored.
 		if id, ok := parseTaskRowKey(r.Key.Key); ok {
 			c.remove(id)
 		}
@@ -74,11 +75,11 @@
 		c.log.WithFields(logrus.Fields{"row": r.Key.Key}).WithError(err).Error("unreadable row of tasks")
 		return
 	}
-	if !j.steps[k][step].opened {
-		c.openStep(j, k, step, now)
+	if !o.steps[step].opened {
+		c.openStep(j, o, step, now)
 	}
 	for _, v := range values {
-		t := c.task(batch.TaskID{Job: j.ID, Occurrence: k, Step: step, Index: v.Index}.String())
+		t := c.task(batch.TaskID{Job: j.ID, Occurrence: o.index, Step: step, Index: v.Index}.String())
 		if t != nil {
 			c.restoreTask(t, v, now)
 		}
@@ -118,9 +119,8 @@
 
 // recomputeProgress derives a job's progress from the phases of its tasks.
 func (c *Core) recomputeProgress(j *job, now time.Duration) {
-	j.stepsLeft = 0
-	for _, steps := range j.steps {
-		for _, s := range steps {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
 			for _, g := range s.groups {
 				if g.finished {
 					s.tasksLeft -= len(g.tasks)
@@ -129,17 +129,13 @@
 					c.stopGroup(g, now, "partly_running")
 				}
 			}
-			if s.tasksLeft > 0 {
-				j.stepsLeft++
-			}
+		}
+		if o.complete() {
+			c.completeOccurrence(j, o, now)
 		}
 	}
-	if j.stepsLeft == 0 {
-		c.finish(j, batch.Completed, now)
-		return
-	}
-	for _, steps := range j.steps {
-		for _, s := range steps {
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
 			for _, g := range s.groups {
 				c.failExhausted(g, 0, now) // the newest crash may not be certain
 			}
@@ -171,16 +167,18 @@
 	return true
 }
 
-func (c *Core) findTaskRow(key string) (j *job, occurrence, step int, ok bool) {
+func (c *Core) findTaskRow(key string) (j *job, o *occurrence, step int, ok bool) {
 	id, ok := parseTaskRowKey(key)
 	if !ok {
-		return nil, 0, 0, false
+		return nil, nil, 0, false
 	}
 	j = c.jobs[id.job]
-	if j == nil || id.occurrence >= len(j.steps) || id.step >= len(j.Steps) {
-		return nil, 0, 0, false
+	if j == nil || id.occurrence >= j.Occurrences() || id.step >= len(j.Steps) {
+		return nil, nil, 0, false
 	}
-	return j, id.occurrence, id.step, true
+	j.openUpTo(id.occurrence + 1) // the earlier leader opened it, and so all before it
+	o = j.occurrence(id.occurrence)
+	return j, o, id.step, o != nil
 }
 
 // parseTaskRowKey parses the key of a row of tasks.
--- a/internal/dispatch/rows.go
+++ b/internal/dispatch/rows.go
@@ -166,6 +166,9 @@
 	Queue     string      `json:"q"`
 	State     batch.State `json:"s"`
 	Scheduled bool        `json:"d,omitempty"` // has a schedule
+	// Opened is the number of occurrences that have been opened, which are the first ones. They are complete except for those in Unfinished.
+	Opened     int   `json:"n,omitempty"`
+	Unfinished []int `json:"u,omitempty"`
 }
 
 // taskValue is one task in the stored value of a row of tasks.
@@ -192,15 +195,19 @@
 		return nil, false
 	}
 	if id.kind == stateRows {
-		return mustEncode(stateValue{Queue: j.Queue.Name, State: j.state, Scheduled: j.Schedule != nil}), true
+		return mustEncode(stateValueOf(j)), true
 	}
-	return mustEncode(c.taskValues(j, id)), true
+	o := j.occurrence(id.occurrence)
+	if o == nil {
+		return nil, false
+	}
+	return mustEncode(taskValues(o, id)), true
 }
 
-func (c *Core) taskValues(j *job, id rowID) []taskValue {
+func taskValues(o *occurrence, id rowID) []taskValue {
 	var out []taskValue
 	first := id.chunk * tasksPerRow
-	for _, g := range j.steps[id.occurrence][id.step].groups {
+	for _, g := range o.steps[id.step].groups {
 		for _, t := range g.tasks {
 			if t.id.Index < first || t.id.Index >= first+tasksPerRow || t.phase == waiting && g.run == 0 {
 				continue
@@ -226,14 +233,16 @@
 
 // StateOf decodes a row of the states table. ok is false for the leader row and for rows of other writers.
 func StateOf(r rowstore.Row) (queue string, s batch.State, scheduled, ok bool) {
-	if r.Key.Key == LeaderKey {
-		return "", "", false, false
-	}
+	v, ok := decodeState(r)
+	return v.Queue, v.State, v.Scheduled, ok
+}
+
+func decodeState(r rowstore.Row) (stateValue, bool) {
 	var v stateValue
-	if err := json.Unmarshal(r.Value, &v); err != nil || v.State == "" {
-		return "", "", false, false
+	if r.Key.Key == LeaderKey || json.Unmarshal(r.Value, &v) != nil || v.State == "" {
+		return stateValue{}, false
 	}
-	return v.Queue, v.State, v.Scheduled, true
+	return v, true
 }
 
 // LeaderKey is the key of the leader row in the states table. No job may have this id, since the row of its state would replace the leader row; the intake
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -78,15 +78,12 @@
 		c.put(m.row())
 	}
 	j := g.job
-	s := j.steps[g.occurrence][g.step]
-	s.tasksLeft -= len(g.tasks)
-	if s.tasksLeft > 0 || j.ending() {
+	g.state.tasksLeft -= len(g.tasks)
+	if g.state.tasksLeft > 0 || j.ending() {
 		return
 	}
-	j.stepsLeft--
-	if j.stepsLeft == 0 {
-		c.finish(j, batch.Completed, now)
-		return
+	if o := j.occurrence(g.occurrence); o.complete() {
+		c.completeOccurrence(j, o, now)
 	}
 	c.openSteps(j, now)
 }
@@ -156,7 +153,7 @@
 			c.counts.LostCoreSeconds[key] += lost
 			c.logTask(t).WithFields(logrus.Fields{"reason": reason, "claimant": preemptor, "priority": g.job.Queue.Priority, "percent": t.percent,
 				"ran_ms": (now - t.startedAt).Milliseconds(), "lost_core_s": int(lost), "preemptions": g.preemptions, "silent_ms": c.silence(t, now).Milliseconds(),
-				"standing": c.objectiveStatus(g.job, now).String(), "remaining_percent": int(100 * c.remainingShare(g.job, g.occurrence))}).Info("stopping run")
+				"standing": c.objectiveStatus(g.job, now).String(), "remaining_percent": int(100 * c.remainingShare(g.job, g.job.occurrence(g.occurrence)))}).Info("stopping run")
 			c.setPhase(t, stopping)
 			t.stopConfirmed = false
 			c.orderStop(t, now)
--- a/internal/dispatch/starvation_rapid_test.go
+++ b/internal/dispatch/starvation_rapid_test.go
@@ -174,7 +174,7 @@
 // failuresOf returns the most failures of a task group of the job's first step.
 func (c *Core) failuresOf(job string) int {
 	n := 0
-	for _, g := range c.jobs[job].steps[0][0].groups {
+	for _, g := range c.jobs[job].occurrences[0].steps[0].groups {
 		n = max(n, len(g.failedRuns))
 	}
 	return n
--- a/internal/dispatch/starvation_test.go
+++ b/internal/dispatch/starvation_test.go
@@ -94,7 +94,7 @@
 			s.fleet.failingJobs[j.ID] = true
 			s.submit(j)
 			failedOnce := func() {
-				s.fleet.failingJobs[j.ID] = len(s.leaders[0].core.jobs[j.ID].steps[0][0].groups[0].failedRuns) == 0
+				s.fleet.failingJobs[j.ID] = len(s.leaders[0].core.jobs[j.ID].occurrences[0].steps[0].groups[0].failedRuns) == 0
 			}
 			(&waitCheck{system: s, job: j.ID, each: []func(){failedOnce}}).mustStart(time.Minute)
 		})
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -91,7 +91,7 @@
 	s.run(300 * time.Millisecond)
 	s.elect()
 	waited := func(id string) time.Duration {
-		return s.fleet.now - s.leaders[1].core.jobs[id].steps[0][0].groups[0].readySince
+		return s.fleet.now - s.leaders[1].core.jobs[id].occurrences[0].steps[0].groups[0].readySince
 	}
 	must.Eq(t, 300*time.Millisecond, waited("waits"))
 	must.Eq(t, 0, waited("runs"))
--- a/internal/dispatch/times_test.go
+++ b/internal/dispatch/times_test.go
@@ -48,8 +48,8 @@
 	c := s.leaders[0].core
 	s.run(2 * testStep)
 	s.submit(simpleJob("j", "batch", 2, 2, smallNeed))
-	g := c.jobs["j"].steps[0][0].groups[0]
-	other := c.jobs["j"].steps[0][0].groups[1].tasks[0]
+	g := c.jobs["j"].occurrences[0].steps[0].groups[0]
+	other := c.jobs["j"].occurrences[0].steps[0].groups[1].tasks[0]
 	g.tasks = append(g.tasks, other)
 	g.tasks[0].worker, other.worker = "w0-0", "w1-0"
 	must.True(t, c.isRunTimeSample(other))
--- a/internal/dispatch/views_test.go
+++ b/internal/dispatch/views_test.go
@@ -25,8 +25,8 @@
 		}
 	}
 	for _, j := range c.liveJobs {
-		for _, steps := range j.steps {
-			for _, s := range steps {
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
 				checkCounts(t, j, s)
 			}
 		}
--- a/internal/dispatch/waitlog.go
+++ b/internal/dispatch/waitlog.go
@@ -62,7 +62,7 @@
 			"within_guarantee": r.WithinGuarantee, "fit_fleet": l.room.Fleet, "fit_rack": l.room.Rack, "left_fleet": left.Fleet,
 			"left_rack": left.Rack, "reserved": slices.Contains(in.decision.Reserved, l.request), "avoided_workers": l.avoided, "ahead": l.request,
 			"priority": r.Priority, "standing": c.objectiveStatus(g.job, now).String(), "preemptions": g.preemptions,
-			"remaining_percent": int(100 * c.remainingShare(g.job, g.occurrence))}).Info("still waiting for room")
+			"remaining_percent": int(100 * c.remainingShare(g.job, g.job.occurrence(g.occurrence)))}).Info("still waiting for room")
 	}
 }
 
