Treat a full list of ends as incomplete

Cause: a worker lists 500 ends at a time. The adapter didn't mark such a list, so that the leader closed runs whose ends were still to be listed as missing.

Change: 500 ends or more make a report incomplete, and an incomplete report closes no run. The check for hanging runs counts from the last report that lists a run as running, not from any report of the worker. An incomplete report is logged with its numbers.

Evidence: TestReportWithAFullListOfEndsIsIncomplete (500 ends: expected true, got false) and TestRunWhoseEndIsNotListedYetDoesNotHang ("stop of j.0.0.0 ordered after 5s") failed before.

--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -61,6 +62,7 @@
 	delayedOrders     []delayedOrder
 	responseLossShare float64 // share of responses to orders and renewals that are lost
 	delayShare        float64 // share of copies of orders that are carried out late and get no response
+	endsPerReport     int     // most ends in a report, the oldest ones; 0 means 500
 	ignoresCapacity   bool    // workers start whatever they are told, even beyond their capacity
 	registryDelay     time.Duration
 	stopTime          time.Duration            // how long a run that is being stopped stays
@@ -310,6 +312,9 @@
 	}
 	w.acknowledge(renewal.AckedEnds)
 	r := WorkerReport{Incarnation: w.Incarnation, Clock: w.clock(), Ended: slices.Clone(w.endReports)}
+	if page := cmp.Or(f.endsPerReport, 500); len(r.Ended) >= page {
+		r.Ended, r.Incomplete = r.Ended[:page], true
+	}
 	for name, run := range w.running {
 		percent := int(100 * (run.work - run.left) / run.work)
 		percent = min(99, percent)
@@ -321,7 +326,9 @@
 	if f.rng.Float64() < f.responseLossShare {
 		return WorkerReport{}, false, false
 	}
-	w.reportedEnd = w.endCount
+	if n := len(r.Ended); n > 0 {
+		w.reportedEnd = max(w.reportedEnd, r.Ended[n-1].N)
+	}
 	return r, true, false
 }
 
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -191,6 +191,7 @@
 	startSettled   bool
 	startSettledAt time.Duration
 	listed         bool          // the current incarnation of the worker has listed it
+	runningAt      time.Duration // when a report listed it as running last
 	delivered      bool          // no more copies of its start are sent
 	stopOrderedAt  time.Duration // when a stop was last ordered for a run without a task
 }
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -97,6 +97,7 @@
 	Clock       time.Duration
 	Running     []RunReport
 	Ended       []EndReport
-	// Incomplete is set if a part of the lists could not be read. A run that isn't listed may be present then.
+	// Incomplete is set if the lists may lack runs: a part of them could not be read, or the worker lists the oldest ends only. A run that isn't listed
+	// may be present then, or may have ended in any way.
 	Incomplete bool
 }
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -176,7 +176,9 @@
 		listed[k] = true
 		c.applyRunning(w, k, run, received)
 	}
-	if !r.Incomplete {
+	if r.Incomplete {
+		c.log.WithFields(logrus.Fields{"worker": w.ID, "epoch": c.epoch, "running": len(r.Running), "ended": len(r.Ended), "runs": len(w.allocs)}).Info("report of a worker is incomplete")
+	} else {
 		c.closeMissingRuns(w, listed, sent, received)
 	}
 	if w.ackedEnd > w.forgottenEnd {
@@ -273,7 +275,7 @@
 		return
 	}
 	c.settleStart(w, k, now)
-	a.listed = true
+	a.listed, a.runningAt = true, now
 	t := a.task
 	if t == nil || t.group.run != k.run {
 		if now-a.stopOrderedAt > stopRetryInterval {
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -76,12 +76,20 @@
 	case t.phase != running || t.group.spec().LongRunning:
 	case w.Draining && c.mustLeaveDraining(w, t, now):
 		return runActionLeave
-	case w.contacted && t.percent < 100 && w.lastContact-t.percentChangedAt > hangTimeout && t.group.allInPhase(running):
+	case w.contacted && t.percent < 100 && w.listedRunningAt(t)-t.percentChangedAt > hangTimeout && t.group.allInPhase(running):
 		return runActionMove
 	}
 	return runActionNone
 }
 
+// listedRunningAt returns when a report of the worker listed the current run of a task as running last. A report may lack a run whose end it doesn't list yet.
+func (w *worker) listedRunningAt(t *task) time.Duration {
+	if a := w.allocs[t.key()]; a != nil {
+		return a.runningAt
+	}
+	return 0
+}
+
 // tickRun repeats unconfirmed stops, and stops runs that hang or whose worker is draining so that they start elsewhere.
 func (c *Core) tickRun(w *worker, t *task, now time.Duration) {
 	switch c.runActionOf(w, t, now) {
