Refuse submissions whose numbers overflow

The due time of occurrence K is the first due time plus K intervals, and what a step needs is its tasks times the need of each. Callers choose both factors, and nothing bounded them: with an interval of 2^62 ms an occurrence overflowed to a time in the past and was due at once, and a need that overflowed to a negative number counted as within every guarantee. Estimates in milliseconds overflowed when they were converted to a duration.

Submissions with such numbers, negative times or limits get 400 with the reason; due times reach to the year 9999, needs to 2^32.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -117,10 +117,16 @@
 	return j.Schedule.FirstMS + int64(occurrence)*j.Schedule.IntervalMS
 }
 
-// Bounds of a job. A leader needs some hundred bytes of memory for each task, and a host has 256 MB: a few jobs of the largest size fit.
+// Bounds of a job. Sums and products of such numbers don't overflow.
 const (
 	MaxTasks       = 50_000  // tasks of all steps of a job
 	MaxOccurrences = 100_000 // occurrences of a job times its number of steps
+	// maxAmount bounds the amount of each resource that a task needs. It exceeds the capacity of any worker.
+	maxAmount = 1 << 32
+	// maxStepTime bounds the times of a step.
+	maxStepTime = 10 * 365 * 24 * time.Hour
+	// maxDueMS bounds the due times of occurrences, Unix milliseconds: the end of the year 9999.
+	maxDueMS = 253_402_300_799_999
 )
 
 // Check returns what is wrong with the steps of a submitted job, or an empty string.
@@ -131,6 +137,9 @@
 	if j.Occurrences() < 1 || j.Occurrences() > MaxOccurrences/len(j.Steps) {
 		return fmt.Sprintf("%d occurrences of %d steps are out of bounds", j.Occurrences(), len(j.Steps))
 	}
+	if s := j.Schedule; s != nil && !s.inRange() {
+		return fmt.Sprintf("occurrences that are due from %d ms on, every %d ms, are out of range", s.FirstMS, s.IntervalMS)
+	}
 	tasks := 0
 	for i, s := range j.Steps {
 		if s.Tasks < 1 {
@@ -140,8 +149,8 @@
 			return fmt.Sprintf("a job has at most %d tasks", MaxTasks)
 		}
 		tasks += s.Tasks
-		if n := s.Need; n.MilliCores < 0 || n.MemoryMB < 0 || n.Accelerators < 0 {
-			return fmt.Sprintf("step %d needs a negative amount", i)
+		if problem := s.checkNumbers(); problem != "" {
+			return fmt.Sprintf("step %d: %s", i, problem)
 		}
 		for _, a := range s.After {
 			if a < 0 || a >= i {
@@ -152,6 +161,27 @@
 	return ""
 }
 
+// inRange reports whether the due times of all occurrences can be represented and don't fall.
+func (s *Schedule) inRange() bool {
+	return s.FirstMS >= 0 && s.FirstMS <= maxDueMS && s.IntervalMS >= 0 && s.IntervalMS <= (maxDueMS-s.FirstMS)/int64(max(1, s.Count-1))
+}
+
+// checkNumbers returns which number of the step is out of range, or an empty string.
+func (s *Step) checkNumbers() string {
+	for _, n := range [...]int{s.Need.MilliCores, s.Need.MemoryMB, s.Need.Accelerators} {
+		if n < 0 || n > maxAmount {
+			return fmt.Sprintf("a need of %d is out of range", n)
+		}
+	}
+	if s.Estimate < 0 || s.Estimate > maxStepTime || s.LatencyTarget < 0 || s.LatencyTarget > maxStepTime {
+		return "the estimate or the latency target is out of range"
+	}
+	if s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
+		return "a negative limit"
+	}
+	return ""
+}
+
 // TaskID identifies a task of a job.
 type TaskID struct {
 	Job                     string
