Delete only stored rows of tasks, after the rows of other jobs

At its end, a job deleted the rows of all its tasks, also of those that had never been stored, before the next rows of other jobs were written: 2,083 deletions for a job of 50,000 tasks, 22 transactions, although it may never have run.

A step records which of its rows may be stored. Deletions wait behind all other rows, with an eighth of each transaction for themselves, so that they end.

TestEndOfAWideJobDelaysNoOtherRows failed before (all 1,668 rows of the two jobs were queued, where 417 had been stored, ahead of those of the next job).

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -295,6 +295,7 @@
 func (c *Core) openStep(j *job, o *occurrence, step int, now time.Duration) {
 	s, spec := o.steps[step], &j.Steps[step]
 	s.opened, s.openedAt, s.waiting = true, now, spec.Tasks
+	s.stored = make([]bool, (spec.Tasks+tasksPerRow-1)/tasksPerRow)
 	c.dirty = true
 	ready := now
 	if len(spec.After) == 0 && j.Schedule == nil {
--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -196,6 +196,6 @@
 
 func (c *Core) putTasks(g *taskGroup) {
 	for _, m := range g.tasks {
-		c.put(m.row())
+		c.putTask(m)
 	}
 }
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -141,6 +141,7 @@
 	waiting   int // tasks without a run that aren't done
 	active    int // tasks that are assigned or may be running
 	groups    []*taskGroup
+	stored    []bool      // rows of tasks that are or may be stored, by chunk; see tasksPerRow
 	advice    *stepAdvice // set for jobs whose starts need tickets, after the first advice request
 	openedAt  time.Duration
 }
--- a/internal/dispatch/occurrences.go
+++ b/internal/dispatch/occurrences.go
@@ -101,11 +101,10 @@
 // removeTaskRows deletes the stored rows of an occurrence.
 func (c *Core) removeTaskRows(j *job, o *occurrence) {
 	for i, s := range o.steps {
-		if !s.opened {
-			continue
-		}
-		for chunk := 0; chunk*tasksPerRow < j.Steps[i].Tasks; chunk++ {
-			c.remove(rowID{kind: taskRows, job: j.ID, occurrence: o.index, step: i, chunk: chunk})
+		for chunk, stored := range s.stored {
+			if stored {
+				c.remove(rowID{kind: taskRows, job: j.ID, occurrence: o.index, step: i, chunk: chunk})
+			}
 		}
 	}
 }
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -239,7 +239,7 @@
 		ack()
 		return
 	}
-	c.put(t.row())
+	c.putTask(t)
 	c.afterStored(t.row(), ack)
 }
 
--- a/internal/dispatch/restore.go
+++ b/internal/dispatch/restore.go
@@ -62,12 +62,13 @@
 		c.restoreWave(r, id)
 		return
 	}
-	j, o, step, ok := c.findTaskRow(r.Key.Key)
+	id, ok := parseTaskRowKey(r.Key.Key)
 	if !ok {
-		// This is a row of an ended job or of a complete occurrence, whose deletion was not stored.
-		if id, ok := parseTaskRowKey(r.Key.Key); ok {
-			c.remove(id)
-		}
+		return
+	}
+	j, o := c.findOccurrence(id)
+	if o == nil {
+		c.remove(id) // of an ended job or of a complete occurrence, whose deletion was not stored
 		return
 	}
 	var values []taskValue
@@ -75,11 +76,15 @@
 		c.log.WithFields(logrus.Fields{"row": r.Key.Key}).WithError(err).Error("unreadable row of tasks")
 		return
 	}
-	if !o.steps[step].opened {
-		c.openStep(j, o, step, now)
+	s := o.steps[id.step]
+	if !s.opened {
+		c.openStep(j, o, id.step, now)
+	}
+	if id.chunk < len(s.stored) {
+		s.stored[id.chunk] = true
 	}
 	for _, v := range values {
-		t := c.task(batch.TaskID{Job: j.ID, Occurrence: o.index, Step: step, Index: v.Index}.String())
+		t := c.task(batch.TaskID{Job: j.ID, Occurrence: o.index, Step: id.step, Index: v.Index}.String())
 		if t != nil {
 			c.restoreTask(t, v, now)
 		}
@@ -154,7 +159,7 @@
 			w.detach(w.allocs[t.key()])
 		}
 		c.setPhase(t, done)
-		c.put(t.row())
+		c.putTask(t)
 	}
 }
 
@@ -167,18 +172,14 @@
 	return true
 }
 
-func (c *Core) findTaskRow(key string) (j *job, o *occurrence, step int, ok bool) {
-	id, ok := parseTaskRowKey(key)
-	if !ok {
-		return nil, nil, 0, false
-	}
-	j = c.jobs[id.job]
+// findOccurrence returns the job of a stored row of tasks and its occurrence, or nil if that has ended.
+func (c *Core) findOccurrence(id rowID) (*job, *occurrence) {
+	j := c.jobs[id.job]
 	if j == nil || id.occurrence >= j.Occurrences() || id.step >= len(j.Steps) {
-		return nil, nil, 0, false
+		return nil, nil
 	}
 	j.openUpTo(id.occurrence + 1) // the earlier leader opened it, and so all before it
-	o = j.occurrence(id.occurrence)
-	return j, o, id.step, o != nil
+	return j, j.occurrence(id.occurrence)
 }
 
 // parseTaskRowKey parses the key of a row of tasks.
--- a/internal/dispatch/rows.go
+++ b/internal/dispatch/rows.go
@@ -27,6 +27,8 @@
 	maxCommitRows = rowstore.MaxTxRows - 2
 	// otherCommitRows is the part of a commit that rows of jobs without the highest priority get even while urgent rows would fill it.
 	otherCommitRows = maxCommitRows / 4
+	// removalCommitRows is the part of a commit that deletions of rows of tasks get. They may wait, and a wide job has thousands of them at its end.
+	removalCommitRows = maxCommitRows / 8
 )
 
 type rowKind uint8
@@ -63,10 +65,11 @@
 	return rowstore.Key{Table: TableTasks, Partition: Partition, Key: key}
 }
 
-// rowQueue holds the rows that have to be written: those of urgent jobs first, and among them the oldest change first. The rows of a job keep their order.
+// rowQueue holds the rows that have to be written: those of urgent jobs first, deletions of rows of tasks last, and among them the oldest change first. The
+// rows of a job that are written keep their order.
 type rowQueue struct {
-	urgent, other []queuedRow
-	queued        map[rowID]*pendingRow
+	urgent, other, removals []queuedRow
+	queued                  map[rowID]*pendingRow
 }
 
 type queuedRow struct {
@@ -83,8 +86,20 @@
 // put queues a row to be written, unless it is queued to be deleted.
 func (c *Core) put(id rowID) { c.queueRow(id) }
 
+// putTask queues the row of a task to be written.
+func (c *Core) putTask(t *task) {
+	c.put(t.row())
+	t.group.state.stored[t.id.Index/tasksPerRow] = true
+}
+
 // remove queues a row to be deleted.
-func (c *Core) remove(id rowID) { c.queueRow(id).remove = true }
+func (c *Core) remove(id rowID) {
+	if c.rows.queued[id] == nil && id.kind == taskRows {
+		c.rows.queued[id] = &pendingRow{}
+		c.rows.removals = append(c.rows.removals, queuedRow{id, c.now})
+	}
+	c.queueRow(id).remove = true
+}
 
 func (c *Core) queueRow(id rowID) *pendingRow {
 	if p := c.rows.queued[id]; p != nil {
@@ -121,20 +136,26 @@
 		return nil
 	}
 	out := &Commit{queuedAt: math.MaxInt64}
-	urgent := min(len(c.rows.urgent), maxCommitRows)
-	// A share of each transaction is for other rows, so that a stream of urgent rows doesn't delay them without bound.
-	urgent = min(urgent, maxCommitRows-min(len(c.rows.other), otherCommitRows))
-	other := min(len(c.rows.other), maxCommitRows-urgent)
-	for _, r := range c.rows.urgent[:urgent] {
-		c.addToCommit(out, r)
-	}
-	for _, r := range c.rows.other[:other] {
-		c.addToCommit(out, r)
-	}
-	c.rows.urgent, c.rows.other = slices.Clone(c.rows.urgent[urgent:]), slices.Clone(c.rows.other[other:])
+	q := &c.rows
+	// A share of each transaction is for less urgent rows, so that a stream of urgent ones doesn't delay them without bound.
+	shared := maxCommitRows - min(len(q.removals), removalCommitRows)
+	urgent := min(len(q.urgent), shared-min(len(q.other), otherCommitRows))
+	other := min(len(q.other), shared-urgent)
+	removals := min(len(q.removals), maxCommitRows-urgent-other)
+	q.urgent = c.moveToCommit(out, q.urgent, urgent)
+	q.other = c.moveToCommit(out, q.other, other)
+	q.removals = c.moveToCommit(out, q.removals, removals)
 	return out
 }
 
+// moveToCommit adds the first n queued rows to a commit and returns the others.
+func (c *Core) moveToCommit(cm *Commit, queue []queuedRow, n int) []queuedRow {
+	for _, r := range queue[:n] {
+		c.addToCommit(cm, r)
+	}
+	return slices.Clone(queue[n:])
+}
+
 func (c *Core) addToCommit(cm *Commit, r queuedRow) {
 	p := c.rows.queued[r.id]
 	delete(c.rows.queued, r.id)
--- a/internal/dispatch/rows_test.go
+++ b/internal/dispatch/rows_test.go
@@ -66,3 +66,40 @@
 		must.False(t, c.HasCommit())
 	})
 }
+
+// Guards against a wide job whose end holds up all other work: the rows of its tasks were deleted before the rows of other jobs were stored, also those that
+// had never been stored.
+func TestEndOfAWideJobDelaysNoOtherRows(t *testing.T) {
+	c := New(1, testPolicy(), testBounds, discardLog())
+	commit := func() *Commit {
+		cm := c.TakeCommit()
+		must.NotNil(t, cm)
+		c.OnStored(cm, 0)
+		return cm
+	}
+	c.AddJob(simpleJob("waits", "batch", 2, 20_000, smallNeed), 0)
+	c.AddJob(simpleJob("runs", "batch", 2, 20_000, smallNeed), 0)
+	for _, g := range c.jobs["runs"].occurrences[0].steps[0].groups[:10_000] {
+		c.putTasks(g)
+	}
+	for c.HasCommit() {
+		commit()
+	}
+	c.Cancel("waits", 0)
+	c.Cancel("runs", 0)
+	commit()
+	rows := 10_000/tasksPerRow + 1
+	must.MapLen(t, rows, c.rows.queued, must.Sprint("only stored rows have to be deleted"))
+	c.AddJob(simpleJob("next", "batch", 2, 2, smallNeed), 0)
+	cm := commit()
+	must.Len(t, 1, cm.Puts)
+	must.Eq(t, stateRow("next").key(), cm.Puts[0].Key)
+	for n := range 100 * maxCommitRows {
+		c.AddJob(simpleJob(fmt.Sprint(n), "urgent", n%2, 1, smallNeed), 0)
+	}
+	removed := len(cm.Removes)
+	for range rows/removalCommitRows + 1 {
+		removed += len(commit().Removes)
+	}
+	must.Eq(t, rows, removed, must.Sprint("deletions must not wait without bound"))
+}
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -56,7 +56,7 @@
 	if o == outcomeFailed {
 		c.countFailure(t, g.run, t.worker, now)
 	}
-	c.put(t.row())
+	c.putTask(t)
 	if g.gang && !g.finished {
 		c.stopGroup(g, now, "member_"+string(o))
 	}
@@ -75,7 +75,7 @@
 			c.detachRun(m, now)
 		}
 		c.setPhase(m, done)
-		c.put(m.row())
+		c.putTask(m)
 	}
 	j := g.job
 	g.state.tasksLeft -= len(g.tasks)
@@ -193,7 +193,7 @@
 		t.inherited, t.confirmed, t.stopConfirmed = false, false, false
 		w.lastPlacementAt = now
 		w.setAlloc(t.key(), &alloc{task: t, need: g.spec().Need})
-		c.put(t.row())
+		c.putTask(t)
 		run := g.run
 		c.afterStored(t.row(), func() { c.orderStart(t, run) })
 	}
