Bound the tasks that a leader keeps in memory

The leader created all tasks of each step that may start, some 500 bytes each.

Steps are held beyond 60,000 tasks. Any team may use the first half of that, the second half is shared equally, so that no team keeps another from starting. One step that is wider than its team's share may be open beside that.

Not bounded yet: the number of live jobs, about 2 KB each.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -52,6 +52,7 @@
 	byID      []*worker // workers in the order of their ids
 	nextSeq   int       // seq of the next job
 
+	tracking             taskTracking
 	rows                 rowQueue
 	orders               []Order
 	pollWakeups          []string       // workers whose polling goroutine has to be woken
@@ -83,7 +84,7 @@
 // New returns the core of a new leader. now is the time at which its epoch was stored.
 func New(epoch uint64, policy *batch.Policy, bounds Bounds, log logrus.FieldLogger) *Core {
 	c := &Core{epoch: epoch, bounds: bounds, log: log, policy: policy, jobs: map[string]*job{}, endedJobs: map[string]endedJob{},
-		workers: map[string]*worker{}, rows: rowQueue{queued: map[rowID]*pendingRow{}}, dirty: true, runTimeEstimates: runTimeEstimates{}, nextAdviceAt: map[string]time.Duration{},
+		workers: map[string]*worker{}, rows: rowQueue{queued: map[rowID]*pendingRow{}}, tracking: taskTracking{byTeam: map[string]int{}}, dirty: true, runTimeEstimates: runTimeEstimates{}, nextAdviceAt: map[string]time.Duration{},
 		counts: newCounts(), waves: map[string]*wave{}, storedWaves: map[string]waveValue{}, ampleSince: map[string]time.Duration{}}
 	c.preemptionBudget, c.planner, c.expectedRunTime = c.preemptionBudgetOf, placement.Plan, c.runTimeEstimates.expect
 	return c
@@ -268,6 +269,7 @@
 		}
 	}
 	for _, o := range j.occurrences {
+		c.untrack(j, o)
 		c.removeTaskRows(j, o)
 	}
 	c.finalized = append(c.finalized, FinalizedJob{j.ID, j.Queue.Name})
@@ -277,7 +279,7 @@
 	return c.log.WithFields(logrus.Fields{"epoch": c.epoch, "job": j.ID, "queue": j.Queue.Name, "team": j.Team, "state": string(j.state), "priority": j.Queue.Priority})
 }
 
-// openSteps creates the tasks of steps whose predecessors are done and whose scheduled time has come.
+// openSteps creates the tasks of steps whose predecessors are done and whose scheduled time has come, unless the leader tracks too many tasks.
 func (c *Core) openSteps(j *job, now time.Duration) {
 	if j.ending() {
 		return
@@ -285,7 +287,7 @@
 	c.openDueOccurrences(j)
 	for _, o := range j.occurrences {
 		for i, s := range o.steps {
-			if !s.opened && o.predecessorsDone(&j.Steps[i]) {
+			if !s.opened && o.predecessorsDone(&j.Steps[i]) && c.mayTrack(j, s, &j.Steps[i]) {
 				c.openStep(j, o, i, now)
 			}
 		}
--- a/internal/dispatch/counts.go
+++ b/internal/dispatch/counts.go
@@ -46,6 +46,7 @@
 	Jobs    int             // live jobs
 	Open    int             // open occurrences of live jobs; a job without a schedule has one
 	Tasks   int             // tasks of steps that have been opened, of live jobs
+	Held    int             // steps that wait because too many tasks are tracked
 	Waiting map[int]int     // tasks that are ready but not placed, by priority
 	Free    map[string]int  // free accelerators of usable workers, by failure domain
 	Usable  map[string]int  // workers that may get new work, by failure domain
@@ -57,7 +58,7 @@
 
 // Overview returns the state of the leader.
 func (c *Core) Overview(now time.Duration) Overview {
-	o := Overview{Jobs: len(c.liveJobs), Waiting: map[int]int{}, Free: map[string]int{}, Usable: map[string]int{}, Workers: map[string]int{}, Used: map[int]float64{}}
+	o := Overview{Jobs: len(c.liveJobs), Held: c.tracking.held, Waiting: map[int]int{}, Free: map[string]int{}, Usable: map[string]int{}, Workers: map[string]int{}, Used: map[int]float64{}}
 	for _, j := range c.liveJobs {
 		o.Open += len(j.occurrences)
 		for _, occ := range j.occurrences {
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -142,6 +142,8 @@
 	active    int // tasks that are assigned or may be running
 	groups    []*taskGroup
 	stored    []bool      // rows of tasks that are or may be stored, by chunk; see tasksPerRow
+	lane      lane        // set while the step is open
+	held      bool        // it had to wait for a lane
 	advice    *stepAdvice // set for jobs whose starts need tickets, after the first advice request
 	openedAt  time.Duration
 }
--- a/internal/dispatch/occurrences.go
+++ b/internal/dispatch/occurrences.go
@@ -94,6 +94,7 @@
 func (c *Core) dropOccurrence(j *job, o *occurrence) {
 	if i, ok := j.findOccurrence(o.index); ok {
 		j.occurrences = slices.Delete(j.occurrences, i, i+1)
+		c.untrack(j, o)
 		c.removeTaskRows(j, o)
 	}
 }
--- a/internal/dispatch/restore.go
+++ b/internal/dispatch/restore.go
@@ -78,6 +78,7 @@
 	}
 	s := o.steps[id.step]
 	if !s.opened {
+		c.tracking.add(j.Team, s, j.Steps[id.step].Tasks, sharedLane)
 		c.openStep(j, o, id.step, now)
 	}
 	if id.chunk < len(s.stored) {
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -22,6 +22,7 @@
 			c.openSteps(j, now)
 		}
 	}
+	c.openHeldSteps()
 	c.tickWaves(now)
 	c.logPriorities(now)
 	c.deleteOldStates(now)
