Bound what is kept of the failures of long-running tasks

Cause: the numbers of all failed runs of a task are stored with it, also where they decide nothing, since a long-running task has no limit of attempts. About 690 failures of each of 24 tasks fill a row beyond the 65,536 bytes that the table takes; the transaction with it is refused, and repeated, for ever.

Change: of a long-running task the last 8 failed runs are kept. A task that fails again and again restarts after 50 ms, then twice that, up to 2 s (6 s are allowed); before, it took hundreds of starts a second.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -58,9 +58,10 @@
 	tasks          []*task
 	gang           bool
 	run            int   // number of the current or last run
-	failedRuns     []int // runs that failed
-	suspectedRun   int   // run from which the group is suspected to crash workers; 0 if it isn't
-	startedApart   bool  // nothing else starts on its workers at the time of the current run, since it is suspected
+	failedRuns     []int // runs that failed; of a long-running task the last ones only
+	restarts       restartDelay
+	suspectedRun   int  // run from which the group is suspected to crash workers; 0 if it isn't
+	startedApart   bool // nothing else starts on its workers at the time of the current run, since it is suspected
 	avoidedWorkers map[string]bool
 	readySince     time.Duration
 	waitLoggedAt   time.Duration // when its wait was last logged
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -78,7 +78,7 @@
 	}
 	var out []readyGroups
 	for _, g := range s.groups {
-		if !g.ready() || g.suspected() && !c.mayStartSuspected(g, now) {
+		if !g.ready() || now < g.restarts.notBefore || g.suspected() && !c.mayStartSuspected(g, now) {
 			continue
 		}
 		order := requestOrder{urgency: g.urgency(), beyondGuarantee: !withinGuarantee, acceptedMS: j.AcceptedMS, seq: j.seq,
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -108,6 +108,11 @@
 		return
 	}
 	g.failedRuns = append(g.failedRuns, run)
+	if g.spec().LongRunning {
+		// Their number decides nothing, and the row of the task holds them.
+		g.failedRuns = g.failedRuns[max(0, len(g.failedRuns)-maxKeptFailures):]
+		g.restarts.recordFailure(now, now-g.startedAt())
+	}
 	g.avoidedWorkers[workerID] = true
 	if w := c.workers[workerID]; w != nil && len(g.failedRuns) == 1 {
 		// A group that fails again on other workers is more likely to be the cause than the workers are.
@@ -117,6 +122,9 @@
 	c.failExhausted(g, 0, now)
 }
 
+// startedAt returns when the current or last run of the group began.
+func (g *taskGroup) startedAt() time.Duration { return g.tasks[0].startedAt }
+
 // failExhausted ends the job of a group as failed if the group has no attempt left or has certainly crashed too many workers.
 func (c *Core) failExhausted(g *taskGroup, crashes int, now time.Duration) {
 	noAttemptLeft := len(g.failedRuns) >= g.job.Queue.Attempts && !g.spec().LongRunning
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -44,6 +44,9 @@
 	Removes    []Key
 }
 
+// MinRowBytes is the least size that a store allows for the value of a row, bytes.
+const MinRowBytes = 64 << 10
+
 // MaxTxRows is the number of conditions, puts and removes that one transaction may hold.
 const MaxTxRows = 100
 
