Store what goes with a row that the table rejects

The table rejects a transaction for good (400, 403) if one of its rows is too long.

The leader then stores the halves of the transaction apart, until the row at fault is alone. If that row is of tasks, its job ends as failed, which deletes the row, so that ends that wait for it are acknowledged; other rows are tried again after 5 s. Commits are bounded by bytes as well as rows.

--- a/internal/api/peer.gen.go
+++ b/internal/api/peer.gen.go
@@ -409,6 +409,7 @@
 const RelayResultOutcomeHistoryGone RelayResultOutcome = "history_gone"
 const RelayResultOutcomeOk RelayResultOutcome = "ok"
 const RelayResultOutcomeRefused RelayResultOutcome = "refused"
+const RelayResultOutcomeRejected RelayResultOutcome = "rejected"
 const RelayResultOutcomeUncertain RelayResultOutcome = "uncertain"
 
 // A row of the table service, or a condition on one.
--- a/internal/dispatch/commitloop.go
+++ b/internal/dispatch/commitloop.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"samphirewell/internal/lead"
+	"samphirewell/internal/rowstore"
 )
 
 // commitLoop stores rows, and renews the leader row when nothing else is written.
@@ -81,7 +84,25 @@
 	if release {
 		write = r.session.Release
 	}
-	if err := write(ctx, cm.Puts, cm.Removes); err != nil {
+	err := r.store(ctx, cm, write)
+	if errors.Is(err, errStoredInParts) {
+		err = r.store(ctx, &Commit{}, write)
+	}
+	return err
+}
+
+// errStoredInParts means that the store rejected a transaction, and that its rows were stored in parts as far as it takes them.
+var errStoredInParts = errors.New("stored in parts")
+
+// store stores the rows of a commit. If the store rejects the transaction, its halves are stored apart, until the row at fault is alone. Only the whole
+// transaction is written by write, its parts are written by Session.Commit.
+func (r *Runner) store(ctx context.Context, cm *Commit, write func(context.Context, []rowstore.Row, []rowstore.Key) error) error {
+	began := r.clock.SinceBoot()
+	err := write(ctx, cm.Puts, cm.Removes)
+	if errors.Is(err, rowstore.ErrRejected) && len(cm.rows) > 0 {
+		return r.storeParts(ctx, cm, err)
+	}
+	if err != nil {
 		return err
 	}
 	r.Do(func(c *Core, now time.Duration) {
@@ -95,3 +116,18 @@
 	})
 	return nil
 }
+
+// storeParts stores a rejected commit in parts and gives up a single row.
+func (r *Runner) storeParts(ctx context.Context, cm *Commit, cause error) error {
+	if len(cm.rows) == 1 {
+		r.Do(func(c *Core, now time.Duration) { c.OnRejected(cm, cause, now) })
+		return errStoredInParts
+	}
+	first, second := cm.split()
+	for _, part := range []*Commit{first, second} {
+		if err := r.store(ctx, part, r.session.Commit); err != nil && !errors.Is(err, errStoredInParts) {
+			return err
+		}
+	}
+	return errStoredInParts
+}
--- a/internal/dispatch/counts.go
+++ b/internal/dispatch/counts.go
@@ -9,6 +9,7 @@
 	Stops           map[StopKey]int     // stops of task groups
 	LostCoreSeconds map[StopKey]float64 // work that was lost by stops
 	Jobs            map[JobKey]int      // ended jobs
+	RejectedRows    int                 // rows that the store has rejected
 }
 
 // StopKey groups stops of task groups by their reason and the priority of what was stopped.
--- a/internal/dispatch/rows.go
+++ b/internal/dispatch/rows.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"samphirewell/internal/batch"
 	"samphirewell/internal/rowstore"
@@ -29,6 +30,10 @@
 	otherCommitRows = maxCommitRows / 4
 	// removalCommitRows is the part of a commit that deletions of rows of tasks get. They may wait, and a wide job has thousands of them at its end.
 	removalCommitRows = maxCommitRows / 8
+	// maxCommitBytes bounds the values of a commit, of which the store takes 1 MB in base64 with keys and braces.
+	maxCommitBytes = 600 << 10
+	// rejectedRetryPause is the time after which a row that the store rejected is tried again.
+	rejectedRetryPause = 5 * time.Second
 )
 
 type rowKind uint8
@@ -69,6 +74,7 @@
 // rows of a job that are written keep their order.
 type rowQueue struct {
 	urgent, other, removals []queuedRow
+	rejected                []queuedRow // rows that the store rejected; at is when they are tried again
 	queued                  map[rowID]*pendingRow
 }
 
@@ -99,6 +105,10 @@
 		c.rows.removals = append(c.rows.removals, queuedRow{id, c.now})
 	}
 	c.queueRow(id).remove = true
+	if i := slices.IndexFunc(c.rows.rejected, func(r queuedRow) bool { return r.id == id }); i >= 0 {
+		c.rows.rejected = slices.Delete(c.rows.rejected, i, i+1)
+		c.rows.removals = append(c.rows.removals, queuedRow{id, c.now})
+	}
 }
 
 func (c *Core) queueRow(id rowID) *pendingRow {
@@ -126,7 +136,41 @@
 	Puts     []rowstore.Row
 	Removes  []rowstore.Key
 	actions  []func()
+	rows     []commitRow
 	queuedAt time.Duration // when its oldest row was queued
+	bytes    int           // of all values
+}
+
+// commitRow is a row of a commit with the actions that wait for it.
+type commitRow struct {
+	id      rowID
+	value   []byte // nil if the row is deleted or no longer tracked
+	pending *pendingRow
+}
+
+func (cm *Commit) add(r commitRow) {
+	cm.rows = append(cm.rows, r)
+	cm.bytes += len(r.value)
+	cm.actions = append(cm.actions, r.pending.stored...)
+	switch {
+	case r.pending.remove:
+		cm.Removes = append(cm.Removes, r.id.key())
+	case r.value != nil:
+		cm.Puts = append(cm.Puts, rowstore.Row{Key: r.id.key(), Value: r.value})
+	}
+}
+
+// split returns two commits with one half of the rows each, in their order.
+func (cm *Commit) split() (first, second *Commit) {
+	first, second = &Commit{queuedAt: cm.queuedAt}, &Commit{queuedAt: cm.queuedAt}
+	for i, r := range cm.rows {
+		if 2*i < len(cm.rows) {
+			first.add(r)
+		} else {
+			second.add(r)
+		}
+	}
+	return first, second
 }
 
 // TakeCommit returns and clears the next rows to store; nil if there are none. It must not be called again before OnStored was called with the
@@ -150,29 +194,71 @@
 
 // moveToCommit adds the first n queued rows to a commit and returns the others.
 func (c *Core) moveToCommit(cm *Commit, queue []queuedRow, n int) []queuedRow {
-	for _, r := range queue[:n] {
-		c.addToCommit(cm, r)
+	moved := 0
+	for moved < n && c.addToCommit(cm, queue[moved]) {
+		moved++
 	}
-	return slices.Clone(queue[n:])
+	return slices.Clone(queue[moved:])
 }
 
-func (c *Core) addToCommit(cm *Commit, r queuedRow) {
+// addToCommit adds a queued row to a commit; false if the values of the commit would be too long together.
+func (c *Core) addToCommit(cm *Commit, r queuedRow) bool {
 	p := c.rows.queued[r.id]
+	var value []byte
+	if !p.remove {
+		value, _ = c.encode(r.id)
+	}
+	if len(cm.rows) > 0 && cm.bytes+len(value) > maxCommitBytes {
+		return false
+	}
 	delete(c.rows.queued, r.id)
 	cm.queuedAt = min(cm.queuedAt, r.at)
-	cm.actions = append(cm.actions, p.stored...)
-	if p.remove {
-		cm.Removes = append(cm.Removes, r.id.key())
-	} else if value, ok := c.encode(r.id); ok {
-		cm.Puts = append(cm.Puts, rowstore.Row{Key: r.id.key(), Value: value})
-	}
+	cm.add(commitRow{r.id, value, p})
+	return true
 }
 
+// commitLength returns the number of rows that may be stored now.
+func (q *rowQueue) commitLength() int { return len(q.urgent) + len(q.other) + len(q.removals) }
+
 // HasCommit reports whether there are rows to store.
-func (c *Core) HasCommit() bool { return len(c.rows.queued) > 0 }
+func (c *Core) HasCommit() bool { return c.rows.commitLength() > 0 }
 
 // HasFullCommit reports whether the rows to store fill a transaction.
-func (c *Core) HasFullCommit() bool { return len(c.rows.queued) >= maxCommitRows }
+func (c *Core) HasFullCommit() bool { return c.rows.commitLength() >= maxCommitRows }
+
+// OnRejected handles a commit of one row that the store rejects. A job whose tasks can't be stored can't go on: starts and ends of its tasks take effect only
+// once they are stored, and unacknowledged ends hold up the other ends of their workers. It ends as failed, which deletes the row. Other rows are tried again.
+func (c *Core) OnRejected(cm *Commit, cause error, now time.Duration) {
+	c.now = now
+	for _, r := range cm.rows {
+		c.log.WithFields(logrus.Fields{"epoch": c.epoch, "row": r.id.key().Key, "job": r.id.job, "bytes": len(r.value)}).WithError(cause).Error("the store rejects a row")
+		c.counts.RejectedRows++
+		p := c.rows.queued[r.id]
+		if p == nil {
+			p = &pendingRow{}
+			c.rows.queued[r.id] = p
+			c.rows.rejected = append(c.rows.rejected, queuedRow{r.id, now + rejectedRetryPause})
+		}
+		p.stored = append(slices.Clip(r.pending.stored), p.stored...)
+		p.remove = p.remove || r.pending.remove
+		if j := c.jobs[r.id.job]; j != nil && r.id.kind == taskRows && !j.ending() {
+			c.logJob(j).Error("job ends, its tasks can't be stored")
+			c.finish(j, batch.Failed, now)
+		}
+	}
+}
+
+// retryRejected queues the rejected rows that are due to be tried again.
+func (c *Core) retryRejected(now time.Duration) {
+	q := &c.rows
+	q.rejected = slices.DeleteFunc(q.rejected, func(r queuedRow) bool {
+		due := now >= r.at
+		if due {
+			q.other = append(q.other, queuedRow{r.id, now})
+		}
+		return due
+	})
+}
 
 // OnStored runs the actions that waited until the rows of the commit were stored.
 func (c *Core) OnStored(cm *Commit, now time.Duration) {
--- a/internal/dispatch/system_test.go
+++ b/internal/dispatch/system_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
 
@@ -174,14 +175,27 @@
 	if cm == nil {
 		cm = &Commit{}
 	}
+	s.storeCommit(l, cm)
+}
+
+// storeCommit stores a commit, or its halves if the store rejects it, as a Runner does.
+func (s *system) storeCommit(l *leader, cm *Commit) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	if err := l.session.Commit(ctx, cm.Puts, cm.Removes); err != nil {
+	err := l.session.Commit(ctx, cm.Puts, cm.Removes)
+	switch {
+	case errors.Is(err, rowstore.ErrRejected) && len(cm.rows) == 1:
+		l.core.OnRejected(cm, err, s.fleet.now)
+	case errors.Is(err, rowstore.ErrRejected):
+		first, second := cm.split()
+		s.storeCommit(l, first)
+		s.storeCommit(l, second)
+	case err != nil:
 		l.core.deposed = true
-		return
+	default:
+		l.sentAt = s.fleet.now
+		l.core.OnStored(cm, s.fleet.now)
 	}
-	l.sentAt = s.fleet.now
-	l.core.OnStored(cm, s.fleet.now)
 }
 
 func (s *system) renewLeases(l *leader) {
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -23,6 +23,7 @@
 		}
 	}
 	c.openHeldSteps()
+	c.retryRejected(now)
 	c.tickWaves(now)
 	c.logPriorities(now)
 	c.deleteOldStates(now)
--- a/internal/lead/session.go
+++ b/internal/lead/session.go
@@ -77,7 +77,8 @@
 // Epoch returns the leader's fencing token.
 func (l *Session) Epoch() uint64 { return l.row.Epoch }
 
-// Commit stores rows under the condition that the host is still the leader. It repeats the transaction until its result is known. Every transaction
+// Commit stores rows under the condition that the host is still the leader. It repeats the transaction until its result is known. rowstore.ErrRejected means
+// that the store never takes these rows; the host is still the leader. Every transaction
 // changes the leader row, so an earlier transaction whose result is not known can't take effect after a later one.
 func (l *Session) Commit(ctx context.Context, puts []rowstore.Row, removes []rowstore.Key) error {
 	row := l.row
@@ -105,7 +106,7 @@
 	for {
 		done, err := l.commitOnce(ctx, tx, row)
 		l.StoreRefusing.Store(errors.Is(err, rowstore.ErrNotDone))
-		if done || errors.Is(err, ErrDeposed) {
+		if done || errors.Is(err, ErrDeposed) || errors.Is(err, rowstore.ErrRejected) {
 			if done {
 				l.row = row
 			}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -99,7 +99,7 @@
 		if err == nil {
 			return decode(r, rows), nil
 		}
-		if errors.Is(err, rowstore.ErrHistoryGone) {
+		if isAnswer(err) {
 			return zero, err
 		}
 		if ctx.Err() != nil {
@@ -118,7 +118,7 @@
 		if relayErr == nil {
 			return decode(r, rows), nil
 		}
-		if errors.Is(relayErr, rowstore.ErrHistoryGone) {
+		if isAnswer(relayErr) {
 			return zero, relayErr
 		}
 		uncertain = uncertain || !errors.Is(relayErr, rowstore.ErrNotDone)
@@ -216,9 +216,14 @@
 	return r, rows, nil
 }
 
+// isAnswer reports whether the error is the store's own answer to the call, which is the same on each route.
+func isAnswer(err error) bool {
+	return errors.Is(err, rowstore.ErrHistoryGone) || errors.Is(err, rowstore.ErrRejected)
+}
+
 // recordRelay records the result of a relayed call. hosts is the number of other hosts.
 func (s *Store) recordRelay(err error, hosts int) {
-	failed := err != nil && !errors.Is(err, rowstore.ErrHistoryGone)
+	failed := err != nil && !isAnswer(err)
 	if s.OnRelayed != nil {
 		s.OnRelayed(!failed)
 	}
@@ -242,6 +247,8 @@
 		return rowstore.ErrNotDone
 	case api.RelayResultOutcomeHistoryGone:
 		return rowstore.ErrHistoryGone
+	case api.RelayResultOutcomeRejected:
+		return rowstore.ErrRejected
 	}
 	return rowstore.ErrUncertain
 }
@@ -254,6 +261,8 @@
 		return api.RelayResultOutcomeRefused
 	case errors.Is(err, rowstore.ErrHistoryGone):
 		return api.RelayResultOutcomeHistoryGone
+	case errors.Is(err, rowstore.ErrRejected):
+		return api.RelayResultOutcomeRejected
 	}
 	return api.RelayResultOutcomeUncertain
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -197,3 +197,12 @@
 	now = now.Add(relayFirstPeriod / 2)
 	must.NoError(t, read())
 }
+
+// Guards against a row that the table rejects and that is sent again and again through other hosts, because they report the rejection as an unknown outcome.
+func TestRejectionIsPassedOn(t *testing.T) {
+	for _, err := range []error{nil, rowstore.ErrNotDone, rowstore.ErrUncertain, rowstore.ErrHistoryGone, rowstore.ErrRejected} {
+		must.ErrorIs(t, outcomeError(outcomeOf(err)), err)
+	}
+	must.True(t, isAnswer(rowstore.ErrRejected))
+	must.False(t, retriable(rowstore.ErrRejected))
+}
--- a/internal/rowstore/memstore/memstore.go
+++ b/internal/rowstore/memstore/memstore.go
@@ -21,6 +21,7 @@
 	changed        chan struct{}  // closed at the next change
 	chooseFault    func(call string) Fault
 	delayed        []rowstore.Tx // transactions with the fault Delay
+	rejects        func(rowstore.Row) bool
 }
 
 // maxScanRows bounds the rows of one scan, as the users' store does.
@@ -52,6 +53,13 @@
 	s.chooseFault = f
 }
 
+// SetRejects sets the function that decides which rows the store rejects each time; nil means none.
+func (s *Store) SetRejects(f func(rowstore.Row) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rejects = f
+}
+
 // Commit implements rowstore.Store.
 func (s *Store) Commit(_ context.Context, tx rowstore.Tx) (rowstore.TxResult, error) {
 	s.mu.Lock()
@@ -68,6 +76,9 @@
 		s.delayed = append(s.delayed, tx)
 		return rowstore.TxResult{}, rowstore.ErrUncertain
 	}
+	if s.rejects != nil && slices.ContainsFunc(tx.Puts, s.rejects) {
+		return rowstore.TxResult{}, rowstore.ErrRejected
+	}
 	return s.apply(tx), nil
 }
 
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -10,12 +10,14 @@
 	"github.com/pkg/errors"
 )
 
-// Errors of a Store. Any other error means that the call had no effect and that repeating it is useless.
+// Errors of a Store.
 var (
 	// ErrNotDone means that the call certainly had no effect, for example because the store refused it.
 	ErrNotDone = errors.New("the store did not carry out the call")
 	// ErrUncertain means that no response came. A transaction may have been carried out, or may still be carried out later.
 	ErrUncertain = errors.New("no answer from the store")
+	// ErrRejected means that the call had no effect and that the store rejects it each time, for example because a value is too long.
+	ErrRejected = errors.New("the store rejects the call")
 	// ErrHistoryGone means that the store no longer keeps the changes after the requested version.
 	ErrHistoryGone = errors.New("the store no longer keeps the requested history")
 )
