Refuse submissions that can't be stored at once

A submission whose payload or steps take more than the table allows for a row was held until the deadline of the caller, 3 s, and answered with 504: the table's 400 counted as a lost answer.

TestSubmissionThatCannotBeStoredIsRefusedAtOnce failed before (a payload of 100,000 bytes went to the store, expected malformed, got ok); TestRejectionAfterALostAnswerIsUncertain keeps the uncertain case.

--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -55,15 +55,17 @@
 	Address     string // ip:port on which other hosts reach this one
 	// Processors is the processor time that the host may use, in cores.
 	Processors float64
-	Store      rowstore.Store
-	Peers      Peers
-	Sources    Sources
-	WorkerAPI  dispatch.WorkerAPI
-	Machines   dispatch.MachineProvider // nil if no machines can be maintained
-	Bounds     dispatch.Bounds
-	Clock      dispatch.Clock
-	Metrics    Metrics
-	Log        logrus.FieldLogger
+	// MaxRowBytes is the longest value of a row that the store takes; 0 means rowstore.MinRowBytes.
+	MaxRowBytes int
+	Store       rowstore.Store
+	Peers       Peers
+	Sources     Sources
+	WorkerAPI   dispatch.WorkerAPI
+	Machines    dispatch.MachineProvider // nil if no machines can be maintained
+	Bounds      dispatch.Bounds
+	Clock       dispatch.Clock
+	Metrics     Metrics
+	Log         logrus.FieldLogger
 }
 
 // Peers sends requests to other hosts.
@@ -98,6 +100,9 @@
 func New(o Options) *Host {
 	h := &Host{options: o, bounds: o.Bounds, leaderWatch: lead.NewWatch(leaderKey, o.HostID, o.Processors)}
 	h.intake = intake.New(o.Store, o.Sources.PolicyAge, h, o.Log)
+	if o.MaxRowBytes > 0 {
+		h.intake.SetMaxRowBytes(o.MaxRowBytes)
+	}
 	h.statesFollower = rowstore.NewFollower(o.Store, dispatch.TableStates, []string{dispatch.Partition}, stateRows{h}, statesInterval, o.Log)
 	h.statesFollower.Interval = h.statesInterval
 	return h
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"path"
 	"strings"
 	"sync/atomic"
@@ -64,6 +65,7 @@
 // Intake handles the requests of callers. It is safe for concurrent use.
 type Intake struct {
 	store     rowstore.Store
+	maxRow    int // longest value of a row that the store takes, bytes
 	policy    atomic.Pointer[batch.Policy]
 	policyAge func() time.Duration
 	states    *stateCache
@@ -84,9 +86,12 @@
 
 // New returns an intake without a configuration. policyAge returns the time since the configuration was last confirmed.
 func New(s rowstore.Store, policyAge func() time.Duration, l Leader, log logrus.FieldLogger) *Intake {
-	return &Intake{store: s, policyAge: policyAge, leader: l, states: newStateCache(), log: log, now: time.Now}
+	return &Intake{store: s, maxRow: rowstore.MinRowBytes, policyAge: policyAge, leader: l, states: newStateCache(), log: log, now: time.Now}
 }
 
+// SetMaxRowBytes sets the longest value of a row that the store takes. It must be called before the first request.
+func (in *Intake) SetMaxRowBytes(n int) { in.maxRow = n }
+
 // States returns the handler that applies changes of the states table to the cache.
 func (in *Intake) States() rowstore.Handler { return in.states }
 
@@ -201,6 +206,9 @@
 	if err != nil {
 		return Reply{Code: Malformed, Reason: err.Error()}
 	}
+	if len(value) > in.maxRow {
+		return Reply{Code: Malformed, Reason: fmt.Sprintf("the job takes %d bytes as it is stored, at most %d are possible", len(value), in.maxRow)}
+	}
 	key := jobKey(j.ID)
 	r, err := in.commit(ctx, c.Deadline, rowstore.Tx{Conditions: []rowstore.Condition{{Key: key}}, Puts: []rowstore.Row{{Key: key, Value: value}}})
 	if err != nil {
@@ -221,6 +229,9 @@
 }
 
 func storeErrorReply(err error) Reply {
+	if errors.Is(err, rowstore.ErrRejected) {
+		return Reply{Code: Malformed, Reason: "store_rejected"}
+	}
 	if errors.Is(err, rowstore.ErrNotDone) {
 		return Reply{Code: Unavailable, Reason: "store_refused", RetryAfter: storeRetryAfter}
 	}
@@ -238,7 +249,7 @@
 		if err == nil {
 			return r, nil
 		}
-		if errors.Is(err, rowstore.ErrNotDone) && !uncertain {
+		if (errors.Is(err, rowstore.ErrNotDone) || errors.Is(err, rowstore.ErrRejected)) && !uncertain {
 			return r, err
 		}
 		uncertain = true
