Judge hanging runs by what their length lets expect

Cause: a run counted as hanging after 4.5 s without a new percentage, in which a task of more than 450 s advances by less than one percent.

Change: the bound is 3.4 s for reports and ten times what one percent of the expected run time takes, at least 4.5 s, so that it is the same for the tasks of the deployments. The run's own speed counts from 6 percent on, checkpoints are progress, and the bound doubles with each run of a task that counts as hanging. Only the first of them adds to the suspicion of a worker.

Hanging runs of 11 s are moved after 4.5 s as before.

--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -35,17 +35,19 @@
 	checkpoint  string // newest reported checkpoint; empty means none
 	crashedRuns []int  // runs that may have been the only cause of the crash of their worker
 
-	percent          int
-	percentChangedAt time.Duration // when percent last changed
-	startedAt        time.Duration // when the run was confirmed; of an inherited run an estimate from its progress
-	resumed          bool          // the run started from a checkpoint
-	startPercent     int           // of a resumed run: its first reported progress
-	startPercentAt   time.Duration // when startPercent was reported
-	inherited        bool          // an earlier leader started the run
-	confirmed        bool          // the worker has confirmed the start or lists the run
-	confirmedAt      time.Duration // when the start was confirmed; a report requested later lists the run if it exists
-	stopConfirmed    bool
-	stopOrderedAt    time.Duration // when a stop was ordered last
+	percent            int
+	percentChangedAt   time.Duration // when percent last changed
+	progressAt         time.Duration // when percent or the reported checkpoint last changed
+	reportedCheckpoint string        // in the newest report of the run
+	startedAt          time.Duration // when the run was confirmed; of an inherited run an estimate from its progress
+	resumed            bool          // the run started from a checkpoint
+	startPercent       int           // of a resumed run: its first reported progress
+	startPercentAt     time.Duration // when startPercent was reported
+	inherited          bool          // an earlier leader started the run
+	confirmed          bool          // the worker has confirmed the start or lists the run
+	confirmedAt        time.Duration // when the start was confirmed; a report requested later lists the run if it exists
+	stopConfirmed      bool
+	stopOrderedAt      time.Duration // when a stop was ordered last
 }
 
 // taskGroup is a gang or a single task: the tasks that start and stop as a whole.
@@ -60,6 +62,7 @@
 	run            int   // number of the current or last run
 	failedRuns     []int // runs that failed; of a long-running task the last ones only
 	restarts       restartDelay
+	hangs          int  // runs that were stopped because they made no progress
 	suspectedRun   int  // run from which the group is suspected to crash workers; 0 if it isn't
 	startedApart   bool // nothing else starts on its workers at the time of the current run, since it is suspected
 	avoidedWorkers map[string]bool
--- a/internal/dispatch/renewals.go
+++ b/internal/dispatch/renewals.go
@@ -7,7 +7,7 @@
 	renewalWait = 2 * time.Second
 	// minRenewalWait bounds the rate of renewals to a worker whose runs are checked for progress.
 	minRenewalWait = 100 * time.Millisecond
-	// hangCheckMargin makes the report that shows whether a run hangs come after hangTimeout.
+	// hangCheckMargin makes the report that shows whether a run hangs come after its hang bound.
 	hangCheckMargin = 20 * time.Millisecond
 )
 
@@ -28,7 +28,7 @@
 	}
 	if busy && w.contacted && len(w.unackedEnds) == 0 && !w.renewalDue && !w.unresponsive {
 		// With unacknowledged ends the worker would respond immediately.
-		renewal.Wait = w.timeToHangCheck(now)
+		renewal.Wait = c.timeToHangCheck(w, now)
 	}
 	if busy && w.contacted && !w.unresponsive {
 		// A renewal without a response may have taken effect. An unresponsive worker gets no further ones, so that its leases expire.
@@ -40,11 +40,11 @@
 }
 
 // timeToHangCheck returns how long a renewal may wait at the worker, so that its report comes when a run that makes no progress is due to be moved.
-func (w *worker) timeToHangCheck(now time.Duration) time.Duration {
+func (c *Core) timeToHangCheck(w *worker, now time.Duration) time.Duration {
 	wait := renewalWait
 	for _, a := range w.allocs {
 		if t := a.task; t != nil && t.phase == running && t.percent < 100 && !t.group.spec().LongRunning {
-			if due := t.percentChangedAt + hangTimeout + hangCheckMargin - now; due > 0 {
+			if due := t.progressAt + c.hangBound(t) + hangCheckMargin - now; due > 0 {
 				wait = min(wait, due)
 			}
 		}
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -15,9 +15,6 @@
 	stopRetryInterval = 500 * time.Millisecond
 	// fullWorkerPause is the time without new starts on a worker that refused one for insufficient capacity, so that its next report comes first.
 	fullWorkerPause = 300 * time.Millisecond
-	// hangTimeout is the time without progress, as reports of the worker show it, after which a run is moved. It exceeds the time in which a task that is slowed
-	// down tenfold advances by one percent (1.1 s for the longest tasks) plus two polls of the worker.
-	hangTimeout = 4500 * time.Millisecond
 )
 
 // OnStart handles the result of a start.
@@ -46,7 +43,7 @@
 	switch r {
 	case Accepted:
 		c.setPhase(t, running)
-		t.confirmed, t.confirmedAt, t.startedAt, t.percentChangedAt = true, now, now, now
+		t.confirmed, t.confirmedAt, t.startedAt, t.percentChangedAt, t.progressAt = true, now, now, now, now
 		c.settleStart(w, t.key(), now)
 	case Superseded:
 		// The worker may list its end; the next report shows it.
@@ -284,6 +281,9 @@
 		return
 	}
 	c.clearSuspicion(t.group, t, now)
+	if run.Percent != t.percent || run.Checkpoint != t.reportedCheckpoint {
+		t.progressAt, t.reportedCheckpoint = now, run.Checkpoint
+	}
 	t.group.saveCheckpoint(t, run.Checkpoint)
 	if run.Percent != t.percent {
 		switch {
--- a/internal/dispatch/restore.go
+++ b/internal/dispatch/restore.go
@@ -110,7 +110,7 @@
 	case v.Active:
 		t.worker, t.incarnation, t.inherited = v.Worker, v.Incarnation, true
 		c.setPhase(t, running)
-		t.confirmed, t.confirmedAt, t.startedAt, t.percentChangedAt = true, now, now, now
+		t.confirmed, t.confirmedAt, t.startedAt, t.percentChangedAt, t.progressAt = true, now, now, now, now
 		w := c.workers[v.Worker]
 		if w == nil {
 			w = c.newWorker(v.Worker, now)
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -197,7 +197,7 @@
 		w := workers[i]
 		t.worker, t.incarnation, t.startedAt = w.ID, w.Incarnation, now
 		c.setPhase(t, assigned)
-		t.percent, t.startPercent, t.startPercentAt = 0, 0, 0
+		t.percent, t.startPercent, t.startPercentAt, t.reportedCheckpoint = 0, 0, 0, ""
 		t.inherited, t.confirmed, t.stopConfirmed = false, false, false
 		w.lastPlacementAt = now
 		w.setAlloc(t.key(), &alloc{task: t, need: g.spec().Need})
@@ -228,7 +228,7 @@
 		return
 	}
 	c.setPhase(t, ordered)
-	t.startedAt, t.percentChangedAt = now, now
+	t.startedAt, t.percentChangedAt, t.progressAt = now, now, now
 	resume := t.group.resumeCheckpoint()
 	t.resumed = resume != ""
 	if t.group.suspected() {
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -78,7 +78,7 @@
 	case t.phase != running || t.group.spec().LongRunning:
 	case w.Draining && c.mustLeaveDraining(w, t, now):
 		return runActionLeave
-	case w.contacted && t.percent < 100 && w.listedRunningAt(t)-t.percentChangedAt > hangTimeout && t.group.allInPhase(running):
+	case w.contacted && t.percent < 100 && w.listedRunningAt(t)-t.progressAt > hangTimeout && w.listedRunningAt(t)-t.progressAt > c.hangBound(t) && t.group.allInPhase(running):
 		return runActionMove
 	}
 	return runActionNone
@@ -100,8 +100,12 @@
 	case runActionLeave:
 		c.stopGroup(t.group, now, "worker_leaves")
 	case runActionMove:
-		w.health.addFailure(now, hangSuspicion)
+		if t.group.hangs == 0 {
+			// A group that hangs again elsewhere is more likely to be the cause than the workers are.
+			w.health.addFailure(now, hangSuspicion)
+		}
 		c.stopGroup(t.group, now, "no_progress")
+		t.group.hangs++
 	}
 }
 
@@ -120,11 +124,8 @@
 
 // remaining estimates the remaining time of a run: from its progress, or from the expected run time while there is too little progress.
 func (c *Core) remaining(t *task, now time.Duration) time.Duration {
-	ran := now - t.startedAt
-	since := max(t.startedAt, t.startPercentAt)
-	if gained := t.percent - t.startPercent; gained > 5 && t.percentChangedAt > since {
-		perPercent := float64(t.percentChangedAt-since) / float64(gained)
-		return time.Duration(float64(100-t.percent)*perPercent) - (now - t.percentChangedAt)
+	if perPercent, ok := t.timePerPercent(); ok {
+		return time.Duration(100-t.percent)*perPercent - (now - t.percentChangedAt)
 	}
-	return max(0, c.expectedRunTime(&t.group.job.Job, t.group.step)-ran)
+	return max(0, c.expectedRunTime(&t.group.job.Job, t.group.step)-(now-t.startedAt))
 }
