Preempt long-running tasks within their max unavailable

Cause: runs of a step with a max unavailable were never preempted, and nothing kept them from taking what other teams are guaranteed.

Change: of such a step, as many tasks are preemptible as may be unavailable beyond those that are, for any cause. They are chosen worker by worker. Tasks that can't be stopped may hold what isn't guaranteed to a team; below half of the accelerators in use they start in any case.

--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -166,6 +166,7 @@
 
 func (w *fakeWorker) stop(o Order) Result {
 	if r := w.running[o.Task]; r != nil && r.run <= o.Run {
+		w.fleet.checkStop(w, o.Task, r)
 		w.beginStop(o.Task, r)
 	}
 	w.highestEndedRun[o.Task] = max(w.highestEndedRun[o.Task], o.Run)
@@ -273,6 +274,26 @@
 	}
 }
 
+// checkStop checks that a stop leaves enough tasks of a long-running step at work.
+func (f *fakeFleet) checkStop(w *fakeWorker, name string, run *fakeRun) {
+	id, _ := batch.ParseTaskID(name)
+	step := f.jobs[id.Job].Steps[id.Step]
+	if step.MaxUnavailable == 0 || run.stopsAt > 0 || w.Draining || f.cancelled[id.Job] {
+		return
+	}
+	away := step.Tasks - 1
+	for _, other := range f.workers {
+		for task, r := range other.running {
+			if t, _ := batch.ParseTaskID(task); other.up && t.Job == id.Job && t.Occurrence == id.Occurrence && t.Step == id.Step && t != id && r.stopsAt == 0 {
+				away--
+			}
+		}
+	}
+	if away >= step.MaxUnavailable {
+		f.addViolation("stop of %s on %s while %d others are away, %d may be", name, w.ID, away, step.MaxUnavailable)
+	}
+}
+
 // groupOf returns the id of the gang or task.
 func (f *fakeFleet) groupOf(id batch.TaskID) string {
 	if f.jobs[id.Job].Steps[id.Step].Gang {
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -377,18 +377,20 @@
 // mayBecomeUnavailable reports whether one more task of a long-running step may be unavailable. There is no limit for a step that doesn't set
 // MaxUnavailable.
 func (c *Core) mayBecomeUnavailable(g *taskGroup) bool {
-	if g.spec().MaxUnavailable == 0 {
-		return true
-	}
-	unavailable := 0
-	for _, other := range g.state.groups {
-		for _, t := range other.tasks {
+	return g.spec().MaxUnavailable == 0 || g.state.unavailable() < g.spec().MaxUnavailable
+}
+
+// unavailable returns the number of tasks of a long-running step that aren't at work, for any cause.
+func (s *stepState) unavailable() int {
+	n := 0
+	for _, g := range s.groups {
+		for _, t := range g.tasks {
 			if t.phase != running || t.percent < startedPercent {
-				unavailable++
+				n++
 			}
 		}
 	}
-	return unavailable < g.spec().MaxUnavailable
+	return n
 }
 
 // startedPercent is the progress of a long-running task that has started up.
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -133,6 +133,8 @@
 	runNumbers     []int          // current run of each of runGroups
 	requestGroups  [][]*taskGroup // task groups of each request
 	tasksPerWorker map[*stepState]map[int]int
+	spared         map[*taskGroup]bool // see addSpared
+	protection     protection
 	quietWorkers   map[int]bool // see findQuietWorkers; nil until needed
 	emptyWorkers   map[int]bool
 	waitLogs       []waitLog
@@ -141,9 +143,11 @@
 }
 
 func (c *Core) planInput(service string, ready []readyGroups, guaranteed map[*job]bool, now time.Duration) *planInput {
-	in := &planInput{service: service, workerIndex: make(map[string]int, len(c.byID)), tasksPerWorker: map[*stepState]map[int]int{}}
+	in := &planInput{service: service, workerIndex: make(map[string]int, len(c.byID)), tasksPerWorker: map[*stepState]map[int]int{},
+		spared: map[*taskGroup]bool{}}
 	c.addWorkers(in, now)
 	c.addRuns(in, guaranteed, now)
+	c.protect(in, guaranteed)
 	c.addRequests(in, ready, guaranteed, now)
 	usage := urgentUsage(in.workers)
 	c.urgentDemand.record(now, usage, usableCapacity(in.Workers))
@@ -260,6 +264,7 @@
 				if s.active == 0 {
 					continue
 				}
+				in.addSpared(s)
 				for _, g := range s.groups {
 					if g.active() && !g.finished {
 						c.addRun(in, g, now)
@@ -272,7 +277,7 @@
 
 func (c *Core) addRun(in *planInput, g *taskGroup, now time.Duration) {
 	run := placement.Run{ID: g.id, Team: g.job.Team, Priority: g.job.Queue.Priority,
-		NonPreemptible: g.spec().MaxUnavailable > 0} // its step bounds how many tasks may be unavailable
+		NonPreemptible: g.spec().MaxUnavailable > 0 && !in.spared[g]}
 	run.Parts = make([]placement.Part, 0, len(g.tasks))
 	for _, t := range g.tasks {
 		i, ok := in.workerIndex[t.worker]
