Stop best-effort tasks for guaranteed latency-sensitive ones

Cause: such tasks are kept apart, and fitCount applied that to the capacity of an empty worker too, so that no worker was a candidate for preemption.

Change: the capacity of a worker whose runs are stopped doesn't take account of its best-effort tasks, and the runs to stop on it include all of them. If one of them may not be stopped, the worker isn't used.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -235,7 +235,8 @@
 		in.workers, in.incarnations = append(in.workers, w), append(in.incarnations, w.Incarnation)
 		in.Workers = append(in.Workers, placement.Worker{ID: w.ID, Rack: w.Rack, Labels: w.Labels, Capacity: w.Capacity, Free: v.free,
 			FutureFree: v.futureFree, EventuallyFree: v.eventuallyFree, Usable: c.usable(w, now),
-			Suspected: c.staysInService(w) && !w.health.trusted(now), HealthPenalty: w.health.suspicion, LatencySensitive: v.latencySensitive, BestEffort: v.bestEffort})
+			Suspected: c.staysInService(w) && !w.health.trusted(now), HealthPenalty: w.health.suspicion, LatencySensitive: v.latencySensitive,
+			BestEffort: v.bestEffortTasks > 0, BestEffortTasks: v.bestEffortTasks})
 	}
 }
 
@@ -277,7 +278,7 @@
 
 func (c *Core) addRun(in *planInput, g *taskGroup, now time.Duration) {
 	run := placement.Run{ID: g.id, Team: g.job.Team, Priority: g.job.Queue.Priority,
-		NonPreemptible: g.spec().MaxUnavailable > 0 && !in.spared[g]}
+		NonPreemptible: g.spec().MaxUnavailable > 0 && !in.spared[g], BestEffort: g.spec().BestEffort}
 	run.Parts = make([]placement.Part, 0, len(g.tasks))
 	for _, t := range g.tasks {
 		i, ok := in.workerIndex[t.worker]
--- a/internal/dispatch/protection_test.go
+++ b/internal/dispatch/protection_test.go
@@ -119,3 +119,32 @@
 		s.mustHaveNoViolations()
 	})
 }
+
+// Guards against a guarantee that is never served because each worker runs a small best-effort task: latency-sensitive tasks don't start beside such tasks, and
+// nothing stopped them.
+func TestGuaranteedLatencySensitiveTasksStartBesideBestEffortOnes(t *testing.T) {
+	for _, x := range []struct{ present, mayMiss, urgent, expected int }{{8, 0, 2, 2}, {8, 0, 8, 8}, {8, 3, 3, 3}, {24, 0, 4, 4}, {24, 6, 2, 2}} {
+		t.Run(fmt.Sprint(x), func(t *testing.T) {
+			s := newSystem(t, 11, 2, 4)
+			s.run(2 * testStep)
+			present := lastingJob("present", "blue", x.present, 0, x.mayMiss)
+			present.Steps[0].BestEffort, present.Steps[0].MaxPerWorker = true, x.present/8
+			s.submit(present)
+			s.run(8 * time.Second)
+			must.Eq(t, x.present, s.runningTasksOf("present"))
+			urgent := simpleJob("urgent", "urgent", 0, x.urgent, batch.Resources{MilliCores: 8000, Accelerators: 1})
+			urgent.Steps[0].LongRunning, urgent.Steps[0].LatencyTarget, urgent.Steps[0].MaxPerWorker = true, 200*time.Millisecond, 1
+			begin := s.fleet.now
+			s.submit(urgent)
+			for s.begunTasksOf("urgent") < x.expected && s.fleet.now < begin+reclaimLimit {
+				s.run(testStep)
+			}
+			must.Eq(t, x.expected, s.begunTasksOf("urgent"))
+			s.run(5 * time.Second)
+			s.cancel("urgent")
+			s.run(10 * time.Second)
+			must.Eq(t, x.present, s.runningTasksOf("present"), must.Sprint("they return"))
+			s.mustHaveNoViolations()
+		})
+	}
+}
--- a/internal/dispatch/views.go
+++ b/internal/dispatch/views.go
@@ -8,7 +8,7 @@
 	futureFree       batch.Resources // free plus what the runs that are being stopped will release
 	eventuallyFree   batch.Resources // capacity minus what long-running tasks use
 	latencySensitive bool
-	bestEffort       bool
+	bestEffortTasks  int
 	hasAssigned      bool            // has runs whose start isn't ordered yet
 	mayHaveRuns      bool            // a run may exist on it; one that is only assigned does not exist yet
 	urgentUse        batch.Resources // of urgent tasks
@@ -50,7 +50,9 @@
 		}
 		if a.task.phase != stopping {
 			v.latencySensitive = v.latencySensitive || spec.LatencyTarget > 0
-			v.bestEffort = v.bestEffort || spec.BestEffort
+			if spec.BestEffort {
+				v.bestEffortTasks++
+			}
 		}
 		v.hasAssigned = v.hasAssigned || a.task.phase == assigned
 		if a.task.group.job.Queue.Priority == 0 {
--- a/internal/placement/equal_test.go
+++ b/internal/placement/equal_test.go
@@ -21,7 +21,9 @@
 		w.Usable = rapid.IntRange(0, 9).Draw(t, "usable") > 0
 		w.HealthPenalty = float64(rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "penalty"))
 		w.LatencySensitive = rapid.IntRange(0, 5).Draw(t, "latency sensitive") == 0
-		w.BestEffort = !w.LatencySensitive && rapid.IntRange(0, 5).Draw(t, "best effort") == 0
+		if !w.LatencySensitive && rapid.IntRange(0, 5).Draw(t, "best effort") == 0 {
+			w.BestEffort, w.BestEffortTasks = true, 1 // of a run that isn't listed
+		}
 		if rapid.IntRange(0, 5).Draw(t, "unlabelled") == 0 {
 			w.Labels = nil
 		}
@@ -39,6 +41,12 @@
 			run.Parts = append(run.Parts, Part{slices.IndexFunc(in.Workers, func(o Worker) bool { return o.ID == w.ID }), need})
 		}
 		if len(run.Parts) > 0 {
+			run.BestEffort = rapid.IntRange(0, 3).Draw(t, "disturbs") == 0
+			for _, part := range run.Parts {
+				if w := &in.Workers[part.Worker]; run.BestEffort {
+					w.BestEffort, w.BestEffortTasks = true, w.BestEffortTasks+1
+				}
+			}
 			in.Runs = append(in.Runs, run)
 		}
 	}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -45,6 +45,7 @@
 	HealthPenalty    float64         // suspicion of the worker's health; 0 means none
 	LatencySensitive bool            // runs latency-sensitive tasks, which have a bound on their response times
 	BestEffort       bool            // runs best-effort tasks, which use the processor time that others leave unused
+	BestEffortTasks  int             // their number
 }
 
 // Run is a running task group: a gang or a single task, which starts and stops as a whole.
@@ -54,6 +55,7 @@
 	Priority        int
 	WithinGuarantee bool // within the guarantee of its team
 	NonPreemptible  bool // must not be stopped for a more urgent request
+	BestEffort      bool // its tasks disturb latency-sensitive ones
 	Parts           []Part
 	LostWork        float64 // work that is lost if the run is stopped, core-seconds
 }
--- a/internal/placement/plain_test.go
+++ b/internal/placement/plain_test.go
@@ -261,9 +261,17 @@
 
 // fitCount returns how many tasks of the request fit on a worker, at most limit. It is 0 on a worker that must not run them.
 func (p *plainPlanner) fitCount(r *Request, w, limit int, capacityOf plainCapacity) int {
+	if r.Step.LatencyTarget > 0 && p.workers[w].BestEffort {
+		return 0
+	}
+	return p.fitCountOfStopped(r, w, limit, capacityOf)
+}
+
+// fitCountOfStopped is fitCount if the best-effort tasks of the worker are stopped.
+func (p *plainPlanner) fitCountOfStopped(r *Request, w, limit int, capacityOf plainCapacity) int {
 	worker := &p.workers[w]
 	if !worker.Usable || r.AvoidedWorkers[w] || !hasLabel(worker, r.Step.Requires) || r.Step.BestEffort && worker.LatencySensitive ||
-		r.Step.LatencyTarget > 0 && worker.BestEffort || r.AllowedWorkers != nil && !r.AllowedWorkers[w] {
+		r.AllowedWorkers != nil && !r.AllowedWorkers[w] {
 		return 0
 	}
 	if r.Step.MaxPerWorker > 0 {
@@ -439,7 +447,7 @@
 // eligible reports whether the worker could run one more task of the request if it were empty.
 func (t *plainTrial) eligible(w int) bool {
 	total := func(worker *Worker) batch.Resources { return worker.Capacity }
-	if t.p.fitCount(t.r, w, 1, total) == 0 {
+	if t.p.fitCountOfStopped(t.r, w, 1, total) == 0 {
 		return false
 	}
 	limit := t.r.Step.MaxPerWorker
@@ -449,12 +457,43 @@
 // victimsOn returns the runs to stop on a worker so that one more task fits, and their cost.
 func (t *plainTrial) victimsOn(w int) (victims []int, cost float64, ok bool) {
 	free, need := t.futureFreeOn(w), t.r.Step.Need
+	disturbing, known := 0, 0
+	if t.r.Step.LatencyTarget > 0 {
+		disturbing = t.p.workers[w].BestEffortTasks
+	}
+	for _, i := range t.p.runsByWorker[w] {
+		run := &t.p.runs[i]
+		if disturbing == 0 || !run.BestEffort {
+			continue
+		}
+		for _, part := range run.Parts {
+			if part.Worker == w {
+				known++
+			}
+		}
+		if t.isVictim[i] || t.p.preempted[i] {
+			continue
+		}
+		if !canPreempt(t.r, run) {
+			return nil, 0, false
+		}
+		for _, part := range run.Parts {
+			if part.Worker == w {
+				free = free.Plus(part.Need)
+			}
+		}
+		victims = append(victims, i)
+		cost += run.cost()
+	}
+	if known < disturbing {
+		return nil, 0, false
+	}
 	for _, i := range t.p.runsByWorker[w] {
 		if free.Covers(need) {
 			break
 		}
 		run := &t.p.runs[i]
-		if t.isVictim[i] || t.p.preempted[i] || !canPreempt(t.r, run) {
+		if t.isVictim[i] || t.p.preempted[i] || !canPreempt(t.r, run) || slices.Contains(victims, i) {
 			continue
 		}
 		for _, part := range run.Parts {
--- a/internal/placement/slots.go
+++ b/internal/placement/slots.go
@@ -37,9 +37,13 @@
 	return shape{s.Need, s.Requires, s.BestEffort, s.LatencyTarget > 0}
 }
 
-// fitCount returns how many tasks of the shape fit on a worker. It is 0 on a worker that must not run them.
+// fitCount returns how many tasks of the shape fit on a worker. It is 0 on a worker that must not run them. The whole capacity is what a worker has once its runs
+// are stopped, also those that would disturb latency-sensitive tasks.
 func (s *shape) fitCount(w *Worker, kind capacityKind) int {
-	if !w.Usable || s.bestEffort && w.LatencySensitive || s.latencySensitive && w.BestEffort || !hasLabel(w, s.requires) {
+	if !w.Usable || s.bestEffort && w.LatencySensitive || !hasLabel(w, s.requires) {
+		return 0
+	}
+	if s.latencySensitive && w.BestEffort && kind != wholeCapacity {
 		return 0
 	}
 	return max(0, kind.of(w).FitCount(s.need, batch.MaxTasks))
--- a/internal/placement/victims.go
+++ b/internal/placement/victims.go
@@ -29,6 +29,7 @@
 type victimClass struct {
 	need            batch.Resources
 	priority        int
+	sensitive       bool // latency-sensitive
 	withinGuarantee bool
 	team            string // only for requests within a guarantee
 }
@@ -70,7 +71,7 @@
 	if x.runsByWorker == nil {
 		x.build(p)
 	}
-	class := victimClass{need: r.Step.Need, priority: r.Priority, withinGuarantee: r.WithinGuarantee}
+	class := victimClass{need: r.Step.Need, priority: r.Priority, sensitive: r.Step.LatencyTarget > 0, withinGuarantee: r.WithinGuarantee}
 	if r.WithinGuarantee {
 		class.team = r.Team
 	}
@@ -229,24 +230,69 @@
 	victims = t.x.found[:0]
 	defer func() { t.x.found = victims }()
 	free, need := t.futureFreeOn(w), t.r.Step.Need
+	take := func(i int) {
+		for _, part := range t.p.runs[i].Parts {
+			if part.Worker == w {
+				free = free.Plus(part.Need)
+			}
+		}
+		victims = append(victims, i)
+		cost += t.x.runCosts[i]
+	}
+	if !t.takeDisturbing(w, take) {
+		return nil, 0, false
+	}
 	if free.Covers(need) {
-		return nil, 0, true
+		return victims, cost, true
 	}
 	for _, i := range t.x.runsOn(w) {
 		if free.Covers(need) {
 			break
 		}
+		if !t.stopping(i) && canPreempt(t.r, &t.p.runs[i]) && !slices.Contains(victims, i) {
+			take(i)
+		}
+	}
+	return victims, cost, free.Covers(need)
+}
+
+// stopping reports whether a run is a victim already, of this trial or of an earlier request.
+func (t *trial) stopping(run int) bool {
+	return t.x.runStamp[run] == t.x.trialStamp || t.p.preempted[run]
+}
+
+// takeDisturbing takes the runs on a worker that disturb latency-sensitive tasks if the request has such; false if not all of them may be stopped.
+func (t *trial) takeDisturbing(w int, take func(run int)) bool {
+	left := 0
+	if t.r.Step.LatencyTarget > 0 {
+		left = t.p.workers[w].BestEffortTasks
+	}
+	if left == 0 {
+		return true
+	}
+	for _, i := range t.x.runsOn(w) {
 		run := &t.p.runs[i]
-		if t.x.runStamp[i] == t.x.trialStamp || t.p.preempted[i] || !canPreempt(t.r, run) {
+		switch {
+		case !run.BestEffort:
 			continue
+		case t.stopping(i):
+		case canPreempt(t.r, run):
+			take(i)
+		default:
+			return false
 		}
-		for _, part := range run.Parts {
-			if part.Worker == w {
-				free = free.Plus(part.Need)
-			}
+		left -= run.tasksOn(w)
+	}
+	return left <= 0
+}
+
+// tasksOn returns the number of tasks of a run on a worker.
+func (r *Run) tasksOn(w int) int {
+	n := 0
+	for _, part := range r.Parts {
+		if part.Worker == w {
+			n++
 		}
-		victims = append(victims, i)
-		cost += t.x.runCosts[i]
 	}
-	return victims, cost, free.Covers(need)
+	return n
 }
