Share the room of long-running steps within a cycle

A long-running step that may start whole didn't count against the room of the next step in the same cycle, so that both together took what is guaranteed. Found by 461 cases of TestLongRunningTasksAndGuaranteesTogether (rapid. on: 2 of 11 urgent tasks had begun after 2.7 s); TestLongRunningStepsOfOneCycleShareTheRoom plays that case.

--- a/internal/dispatch/protection.go
+++ b/internal/dispatch/protection.go
@@ -85,16 +85,16 @@
 		return 0
 	}
 	spec, p := g.spec(), &in.protection
+	each := spec.Need.Accelerators
 	room := p.room + g.state.protectedAccelerators() // for all tasks of the step
-	if (spec.Tasks-spec.MaxUnavailable)*spec.Need.Accelerators <= room {
-		return 0
+	allowed := count
+	if (spec.Tasks-spec.MaxUnavailable)*each > room {
+		allowed = min(count, max(room/each-g.state.active, p.spare/each, 0))
 	}
-	allowed := max(room/spec.Need.Accelerators-g.state.active, p.spare/spec.Need.Accelerators, 0)
 	if g.gang && allowed < count {
 		allowed = 0
 	}
-	allowed = min(allowed, count)
-	p.room -= allowed * spec.Need.Accelerators
-	p.spare -= allowed * spec.Need.Accelerators
+	p.room -= allowed * each
+	p.spare -= allowed * each
 	return count - allowed
 }
--- a/internal/dispatch/protection_test.go
+++ b/internal/dispatch/protection_test.go
@@ -148,3 +148,15 @@
 		})
 	}
 }
+
+// Guards against two long-running steps that start in the same cycle and take what is guaranteed together, found by the test above.
+func TestLongRunningStepsOfOneCycleShareTheRoom(t *testing.T) {
+	s := newSystem(t, 0, 2, 4)
+	s.setGuarantees(11, 0)
+	s.run(2 * testStep)
+	s.submit(lastingJob("first", "blue", 12, 2, 1))
+	s.submit(lastingJob("second", "blue", 32, 2, 1))
+	s.run(10 * time.Second)
+	must.Eq(t, 12, s.runningTasksOf("first"))
+	must.Between(t, 4, s.runningTasksOf("second"), 15, must.Sprint("more than half of the fleet is in use, and 11 accelerators are left"))
+}
