--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -109,6 +109,21 @@
 	return n
 }
 
+// bytesPerJob and bytesPerStep are the memory that a leader takes for a live job and for each of its steps, without its tasks.
+const (
+	bytesPerJob  = 1500
+	bytesPerStep = 400
+)
+
+// MemoryBytes estimates the memory that a leader takes for the job while it is live, without its tasks.
+func (j *Job) MemoryBytes() int {
+	n := bytesPerJob + len(j.Payload)
+	for i := range j.Steps {
+		n += bytesPerStep + len(j.Steps[i].Requires) + len(j.Steps[i].DataRack) + 8*len(j.Steps[i].After)
+	}
+	return n
+}
+
 // Due returns when an occurrence may start, Unix milliseconds; 0 means immediately.
 func (j *Job) Due(occurrence int) int64 {
 	if j.Schedule == nil {
--- a/internal/dispatch/occurrences.go
+++ b/internal/dispatch/occurrences.go
@@ -113,7 +113,11 @@
 // stateValueOf returns the stored value of a job's state.
 func stateValueOf(j *job) stateValue {
 	v := stateValue{Queue: j.Queue.Name, State: j.state, Scheduled: j.Schedule != nil}
-	if v.Scheduled && !v.State.Terminal() {
+	if v.State.Terminal() {
+		return v
+	}
+	v.Team, v.Bytes = j.Team, j.MemoryBytes()
+	if v.Scheduled {
 		v.Opened, v.Unfinished = j.nextOccurrence, j.unfinished()
 	}
 	return v
--- a/internal/dispatch/rows.go
+++ b/internal/dispatch/rows.go
@@ -273,6 +273,8 @@
 	Queue     string      `json:"q"`
 	State     batch.State `json:"s"`
 	Scheduled bool        `json:"d,omitempty"` // has a schedule
+	Team      string      `json:"t,omitempty"` // of a live job
+	Bytes     int         `json:"z,omitempty"` // memory that a live job takes, see batch.Job.MemoryBytes
 	// Opened is the number of occurrences that have been opened, which are the first ones. They are complete except for those in Unfinished.
 	Opened     int   `json:"n,omitempty"`
 	Unfinished []int `json:"u,omitempty"`
@@ -344,6 +346,18 @@
 	return v.Queue, v.State, v.Scheduled, ok
 }
 
+// LiveJob is what the stored state of a job tells about its size.
+type LiveJob struct {
+	Team  string
+	Bytes int
+}
+
+// LiveJobOf returns the size of a live job from its row in the states table; false if the job has ended or the row tells no size.
+func LiveJobOf(r rowstore.Row) (LiveJob, bool) {
+	v, ok := decodeState(r)
+	return LiveJob{v.Team, v.Bytes}, ok && v.Bytes > 0
+}
+
 func decodeState(r rowstore.Row) (stateValue, bool) {
 	var v stateValue
 	if r.Key.Key == LeaderKey || json.Unmarshal(r.Value, &v) != nil || v.State == "" {
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -26,6 +26,8 @@
 	// storeRetryAfter is the time after which a caller may repeat a request that failed because the table refused a call. Outages last seconds, and the
 	// table may serve another host meanwhile.
 	storeRetryAfter = time.Second
+	// liveJobsRetryAfter is the time after which a submission may be repeated that would have made too many jobs live. They end within seconds at the earliest.
+	liveJobsRetryAfter = 5 * time.Second
 )
 
 // Code is the result of a caller's request.
@@ -181,6 +183,9 @@
 	if info, ok := in.states.get(t.id); ok {
 		return in.logReply(c, "submit", t, duplicateReply(info.queue == t.queue.Name, "already_known"))
 	}
+	if !in.states.admits(j.Team, j.MemoryBytes(), len(t.policy.Teams)) {
+		return in.logReply(c, "submit", t, Reply{Code: Unavailable, Reason: "too_many_live_jobs", RetryAfter: liveJobsRetryAfter})
+	}
 	return in.logReply(c, "submit", t, in.storeJob(ctx, c, j))
 }
 
