--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -133,7 +133,7 @@
 	runNumbers     []int          // current run of each of runGroups
 	requestGroups  [][]*taskGroup // task groups of each request
 	tasksPerWorker map[*stepState]map[int]int
-	spared         map[*taskGroup]bool // see addSpared
+	stoppable      map[*taskGroup]bool // see addStoppable
 	protection     protection
 	quietWorkers   map[int]bool // see findQuietWorkers; nil until needed
 	emptyWorkers   map[int]bool
@@ -144,7 +144,7 @@
 
 func (c *Core) planInput(service string, ready []readyGroups, guaranteed map[*job]bool, now time.Duration) *planInput {
 	in := &planInput{service: service, workerIndex: make(map[string]int, len(c.byID)), tasksPerWorker: map[*stepState]map[int]int{},
-		spared: map[*taskGroup]bool{}}
+		stoppable: map[*taskGroup]bool{}}
 	c.addWorkers(in, now)
 	c.addRuns(in, guaranteed, now)
 	c.protect(in, guaranteed)
@@ -265,7 +265,7 @@
 				if s.active == 0 {
 					continue
 				}
-				in.addSpared(s)
+				in.addStoppable(s)
 				for _, g := range s.groups {
 					if g.active() && !g.finished {
 						c.addRun(in, g, now)
@@ -278,7 +278,7 @@
 
 func (c *Core) addRun(in *planInput, g *taskGroup, now time.Duration) {
 	run := placement.Run{ID: g.id, Team: g.job.Team, Priority: g.job.Queue.Priority,
-		NonPreemptible: g.spec().MaxUnavailable > 0 && !in.spared[g], BestEffort: g.spec().BestEffort}
+		NonPreemptible: g.spec().MaxUnavailable > 0 && !in.stoppable[g], BestEffort: g.spec().BestEffort}
 	run.Parts = make([]placement.Part, 0, len(g.tasks))
 	for _, t := range g.tasks {
 		i, ok := in.workerIndex[t.worker]
--- a/internal/dispatch/protection.go
+++ b/internal/dispatch/protection.go
@@ -12,9 +12,9 @@
 	spare int // accelerators that may be taken in any case, since less than half of all are in use; work has to run then
 }
 
-// addSpared selects the tasks of a step that may be stopped for more urgent work: as many as may be unavailable beyond those that are, for any cause. They are
+// addStoppable selects the tasks of a step that may be stopped for more urgent work: as many as may be unavailable beyond those that are, for any cause. They are
 // chosen worker by worker, so that they make way for tasks that need much of a worker.
-func (in *planInput) addSpared(s *stepState) {
+func (in *planInput) addStoppable(s *stepState) {
 	spec := s.groups[0].spec()
 	if spec.MaxUnavailable == 0 {
 		return
@@ -36,7 +36,7 @@
 		return cmp.Or(-cmp.Compare(onWorker[x], onWorker[y]), cmp.Compare(x, y))
 	})
 	for _, g := range atWork[:min(left, len(atWork))] {
-		in.spared[g] = true
+		in.stoppable[g] = true
 	}
 }
 
--- a/internal/dispatch/rejected_test.go
+++ b/internal/dispatch/rejected_test.go
@@ -17,7 +17,7 @@
 
 // rejectTasksOf makes a store reject all rows of tasks of some jobs.
 func rejectTasksOf(store *memstore.Store, prefix string) {
-	store.SetRejects(func(r rowstore.Row) bool { return r.Key.Table == TableTasks && strings.HasPrefix(r.Key.Key, prefix) })
+	store.SetRejects(func(r rowstore.Row) bool { return r.Table == TableTasks && strings.HasPrefix(r.Key.Key, prefix) })
 }
 
 // Guards against a transaction that the store rejects each time and that is repeated for ever: nothing was stored any more, by any leader. The job at fault
