Use suspected workers for a label that no other worker has

Change: once such a task has waited 2 s, suspected workers with its label get work in that cycle. Their health penalty keeps other work away while there are other workers.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -135,6 +135,7 @@
 	tasksPerWorker map[*stepState]map[int]int
 	stoppable      map[*taskGroup]bool // see addStoppable
 	protection     protection
+	admitted       map[int]bool // workers that get work although their health is suspected, see admitSuspected
 	quietWorkers   map[int]bool // see findQuietWorkers; nil until needed
 	emptyWorkers   map[int]bool
 	waitLogs       []waitLog
@@ -144,8 +145,9 @@
 
 func (c *Core) planInput(service string, ready []readyGroups, guaranteed map[*job]bool, now time.Duration) *planInput {
 	in := &planInput{service: service, workerIndex: make(map[string]int, len(c.byID)), tasksPerWorker: map[*stepState]map[int]int{},
-		stoppable: map[*taskGroup]bool{}}
+		stoppable: map[*taskGroup]bool{}, admitted: map[int]bool{}}
 	c.addWorkers(in, now)
+	in.admitSuspected(ready, now)
 	c.addRuns(in, guaranteed, now)
 	c.protect(in, guaranteed)
 	c.addRequests(in, ready, guaranteed, now)
@@ -217,7 +219,7 @@
 	}
 	for w, n := range tasks {
 		target := in.workers[w]
-		if c.workers[target.ID] != target || target.Incarnation != in.incarnations[w] || !c.usable(target, now) || target.free().FitCount(g.spec().Need, n) < n {
+		if c.workers[target.ID] != target || target.Incarnation != in.incarnations[w] || !c.open(target, now) || !target.health.trusted(now) && !in.admitted[w] || target.free().FitCount(g.spec().Need, n) < n {
 			return
 		}
 	}
@@ -242,7 +244,12 @@
 
 // usable reports whether a worker may get new work.
 func (c *Core) usable(w *worker, now time.Duration) bool {
-	return c.staysInService(w) && now >= w.fullUntil && !w.closedForSuspected(now) && w.health.trusted(now)
+	return c.open(w, now) && w.health.trusted(now)
+}
+
+// open is usable without regard to the worker's health.
+func (c *Core) open(w *worker, now time.Duration) bool {
+	return c.staysInService(w) && now >= w.fullUntil && !w.closedForSuspected(now)
 }
 
 // staysInService reports whether a worker responds and isn't about to leave.
