Keep the part of urgent rows in a transaction while rows are deleted

Deletions of rows of tasks had an eighth of each transaction for themselves, so that a backlog of urgent rows got 62 of 98 rows instead of 74. They share the part of other rows now.

TestEndOfAWideJobDelaysNoOtherRows checks the part of urgent rows; it failed before (62, expected 74).

--- a/internal/dispatch/rows.go
+++ b/internal/dispatch/rows.go
@@ -28,8 +28,8 @@
 	maxCommitRows = rowstore.MaxTxRows - 2
 	// otherCommitRows is the part of a commit that rows of jobs without the highest priority get even while urgent rows would fill it.
 	otherCommitRows = maxCommitRows / 4
-	// removalCommitRows is the part of a commit that deletions of rows of tasks get. They may wait, and a wide job has thousands of them at its end.
-	removalCommitRows = maxCommitRows / 8
+	// removalCommitRows is the part of otherCommitRows that deletions of rows of tasks get. They may wait, and a wide job has thousands of them at its end.
+	removalCommitRows = otherCommitRows / 2
 	// maxCommitBytes bounds the values of a commit, of which the store takes 1 MB in base64 with keys and braces.
 	maxCommitBytes = 600 << 10
 	// rejectedRetryPause is the time after which a row that the store rejected is tried again.
@@ -182,9 +182,8 @@
 	out := &Commit{queuedAt: math.MaxInt64}
 	q := &c.rows
 	// A share of each transaction is for less urgent rows, so that a stream of urgent ones doesn't delay them without bound.
-	shared := maxCommitRows - min(len(q.removals), removalCommitRows)
-	urgent := min(len(q.urgent), shared-min(len(q.other), otherCommitRows))
-	other := min(len(q.other), shared-urgent)
+	urgent := min(len(q.urgent), maxCommitRows-min(len(q.other)+len(q.removals), otherCommitRows))
+	other := min(len(q.other), maxCommitRows-urgent-min(len(q.removals), removalCommitRows))
 	removals := min(len(q.removals), maxCommitRows-urgent-other)
 	q.urgent = c.moveToCommit(out, q.urgent, urgent)
 	q.other = c.moveToCommit(out, q.other, other)
--- a/internal/dispatch/rows_test.go
+++ b/internal/dispatch/rows_test.go
@@ -99,7 +99,14 @@
 	}
 	removed := len(cm.Removes)
 	for range rows/removalCommitRows + 1 {
-		removed += len(commit().Removes)
+		cm, urgent := commit(), 0
+		for _, r := range cm.Puts {
+			if c.jobs[r.Key.Key].Queue.Priority == 0 {
+				urgent++
+			}
+		}
+		must.Eq(t, maxCommitRows-otherCommitRows, urgent, must.Sprint("deletions must not take the part of urgent rows"))
+		removed += len(cm.Removes)
 	}
 	must.Eq(t, rows, removed, must.Sprint("deletions must not wait without bound"))
 }
