Add review case 7: an upkeep ends more work items than MayMiss allows

The API of machines is silent for 5 s while an upkeep is ordered. The emptied executor gets new work meanwhile, and the order is repeated as soon as the API answers: it ends four work items at work of a lasting step with MayMiss 1 (AVAIL).

--- a/review/sim2/executor.go
+++ b/review/sim2/executor.go
@@ -19,6 +19,7 @@
 	stopTime = 100 * time.Millisecond // time that a stop takes, below StopMs
 	listMax  = 500                    // ends in one response
 	tick     = 10 * time.Millisecond
+	startup  = 300 * time.Millisecond // after which a lasting work item is at work
 	// heartbeat is HeartbeatMs; an entry goes after three of them without a report.
 	heartbeat = 1500 * time.Millisecond
 )
@@ -341,6 +342,9 @@
 	running := [][]any{}
 	for task, x := range e.running {
 		percent := 100
+		if x.spec.Lasting && time.Since(x.startedAt) < startup {
+			percent = 0
+		}
 		if !x.spec.Lasting {
 			percent = int(100 * time.Since(x.startedAt).Milliseconds() / int64(max(1, x.spec.RunMs)))
 		}
--- a/review/sim2/main.go
+++ b/review/sim2/main.go
@@ -18,6 +18,7 @@
 // cases maps the names of the cases to their functions, which return whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) bool{
 	"crashed-executor": crashedExecutor,
+	"late-upkeep":      lateUpkeep,
 }
 
 func main() {
