--- a/review/sim2/executor.go
+++ b/review/sim2/executor.go
@@ -69,6 +69,7 @@
 	ended    [][]any
 	endCount uint64
 	changed  chan struct{}
+	channels map[net.Conn]struct{} // open ones
 }
 
 // fleet is the executors of a service, and what the platform saw of them.
@@ -122,7 +123,8 @@
 	e.address, e.alive, e.born = ln.Addr().String(), true, time.Now()
 	e.fence, e.leaseEnd, e.endCount, e.ended = 0, 0, 0, nil
 	e.running, e.highest, e.changed = map[string]*execution{}, map[string]int{}, make(chan struct{})
-	e.server = &http.Server{Handler: http.HandlerFunc(e.serve)}
+	e.channels = map[net.Conn]struct{}{}
+	e.server = &http.Server{Handler: http.HandlerFunc(e.serve), ConnState: e.trackChannel}
 	server := e.server
 	go func() { _ = server.Serve(ln) }()
 	e.mu.Unlock()
--- a/review/sim2/world.go
+++ b/review/sim2/world.go
@@ -240,27 +240,35 @@
 
 // step is a step of a submitted job.
 type step struct {
-	Count       int
-	Cpu         int  `json:",omitempty"`
-	MemMb       int  `json:",omitempty"`
-	Gpu         int  `json:",omitempty"`
-	EstimateMs  int  `json:",omitempty"`
-	LongRunning bool `json:",omitempty"`
-	MayMiss     int  `json:",omitempty"`
+	Count        int
+	Cpu          int  `json:",omitempty"`
+	MemMb        int  `json:",omitempty"`
+	Gpu          int  `json:",omitempty"`
+	EstimateMs   int  `json:",omitempty"`
+	LongRunning  bool `json:",omitempty"`
+	MayMiss      int  `json:",omitempty"`
+	AntiAffinity int  `json:",omitempty"`
 }
 
-// submit hands a job in until it is accepted, at each host in turn; false if it isn't within 10 s.
+// submit hands a job of one step in, see submitSteps.
 func (w *world) submit(queue, id string, count int, s spec, mayMiss int) bool {
+	return w.submitSteps(queue, id, s, step{Count: count, LongRunning: s.Lasting, MayMiss: mayMiss})
+}
+
+// submitSteps hands a job in until it is accepted, at each host in turn; false if it isn't within 10 s. All work items of the job have the needs of the spec.
+func (w *world) submitSteps(queue, id string, s spec, steps ...step) bool {
 	text, err := json.Marshal(s)
 	if err != nil {
 		panic(err) // plain types
 	}
-	body, err := json.Marshal(map[string]any{"Spec": string(text), "Steps": []step{{Count: count, Cpu: s.Need.Cpu, MemMb: s.Need.MemMb, Gpu: s.Need.Gpu,
-		EstimateMs: s.RunMs, LongRunning: s.Lasting, MayMiss: mayMiss}}})
+	for i := range steps {
+		steps[i].Cpu, steps[i].MemMb, steps[i].Gpu, steps[i].EstimateMs = s.Need.Cpu, s.Need.MemMb, s.Need.Gpu, s.RunMs
+	}
+	body, err := json.Marshal(map[string]any{"Spec": string(text), "Steps": steps})
 	if err != nil {
 		panic(err) // plain types
 	}
-	for n := 0; n < 50; n++ {
+	for n := range 50 {
 		if status, _ := w.request(n%len(w.hosts), http.MethodPost, "/"+queue+"/"+id, string(body)); status == http.StatusOK {
 			return true
 		}
