Add review case 10: work items of an executor that has left wait longer than allowed

With HoldMaxMs 10 s, three of seven executors leave one after the other, each 2 s after it reported draining. The lasting work item that ran there is started again 8.8 to 10.4 s after the executor's end (LOST: 6 s + 3 s).

--- a/review/sim2/executor.go
+++ b/review/sim2/executor.go
@@ -15,7 +15,6 @@
 )
 
 const (
-	holdMax  = 6 * time.Second        // longest lease, HoldMaxMs
 	stopTime = 100 * time.Millisecond // time that a stop takes, below StopMs
 	listMax  = 500                    // ends in one response
 	tick     = 10 * time.Millisecond
@@ -24,6 +23,9 @@
 	heartbeat = 1500 * time.Millisecond
 )
 
+// holdMax is the longest lease of the executors, HoldMaxMs.
+var holdMax = 6 * time.Second
+
 // resources is an amount of capacity as the protocol names it.
 type resources struct{ Cpu, MemMb, Gpu int }
 
@@ -153,6 +155,9 @@
 	e.mu.Lock()
 	entry := map[string]any{"Backend": "svc", "Address": e.address, "Zone": "z", "Version": "1", "Slots": 8, "State": state,
 		"Labels": []string{"kind-a", e.rack}, "Capacity": e.capacity, "born": e.born.UnixMilli(), "ColdLeftMs": 0, "Seq": 1}
+	if state == "draining" {
+		entry["RemainingMs"] = leaveNotice.Milliseconds()
+	}
 	e.mu.Unlock()
 	data, err := json.Marshal(entry)
 	if err != nil {
--- a/review/sim2/main.go
+++ b/review/sim2/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(w *world, trouble bool) bool{
 	"crashed-executor": crashedExecutor,
 	"late-upkeep":      lateUpkeep,
+	"leaving-executor": leavingExecutor,
 	"reset-channels":   resetChannels,
 }
 
--- a/review/sim2/world.go
+++ b/review/sim2/world.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -52,6 +53,8 @@
 
 	storeAddress string
 	machines     string // address of the API of machines; empty without one
+	holdMaxMs    int    // HoldMaxMs in the settings
+	stopMs       int    // StopMs in the settings
 
 	mu     sync.Mutex
 	client *http.Client
@@ -74,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{record: r, store: memstore.New(), dir: dir, client: &http.Client{}}
+	w := &world{record: r, store: memstore.New(), dir: dir, client: &http.Client{}, holdMaxMs: 6000, stopMs: 200}
 	w.fleet = newFleet(w.store, r)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -157,7 +160,7 @@
 	fields := map[string]string{"Node": quote(fmt.Sprintf("edge-z-%d", i+1)), "Zone": `"z"`, "Listen.Front": quote(h.caller), "Listen.Ready": quote(h.ready),
 		"Ip": quote(h.ip), "PortRange": fmt.Sprintf("[%d,%d]", peerPort, peerPort+15), "Seeds": fmt.Sprintf(`["%s:1","%s:1","%s:1"]`, ip(0), ip(1), ip(2)),
 		"Limits.CpuShare": "0.4", "Limits.MemoryMb": "284", "platform.Address": quote(w.storeAddress), "platform.RowBytes": "65536",
-		"Bounds.GraceS": "6", "Bounds.FarX": "3", "Bounds.HoldMaxMs": "6000", "Bounds.StopMs": "200", "CloudApi.Address": "null"}
+		"Bounds.GraceS": "6", "Bounds.FarX": "3", "Bounds.HoldMaxMs": strconv.Itoa(w.holdMaxMs), "Bounds.StopMs": strconv.Itoa(w.stopMs), "CloudApi.Address": "null"}
 	if w.machines != "" {
 		fields["CloudApi.Address"] = quote(w.machines)
 	}
