--- a/review/sim2/executor.go
+++ b/review/sim2/executor.go
@@ -27,14 +27,17 @@
 var holdMax = 6 * time.Second
 
 // resources is an amount of capacity as the protocol names it.
-type resources struct{ Cpu, MemMb, Gpu int }
+type resources struct {
+	CPU        int `json:"Cpu"`
+	MemMb, Gpu int
+}
 
 func (r resources) plus(o resources) resources {
-	return resources{r.Cpu + o.Cpu, r.MemMb + o.MemMb, r.Gpu + o.Gpu}
+	return resources{r.CPU + o.CPU, r.MemMb + o.MemMb, r.Gpu + o.Gpu}
 }
 
 func (r resources) covers(o resources) bool {
-	return r.Cpu >= o.Cpu && r.MemMb >= o.MemMb && r.Gpu >= o.Gpu
+	return r.CPU >= o.CPU && r.MemMb >= o.MemMb && r.Gpu >= o.Gpu
 }
 
 // spec is the payload of the jobs that the cases submit; the executors read the work items' needs and times from it.
@@ -355,7 +358,7 @@
 		if !x.spec.Lasting {
 			percent = int(100 * time.Since(x.startedAt).Milliseconds() / int64(max(1, x.spec.RunMs)))
 		}
-		running = append(running, []any{task, x.run, "", min(100, percent), x.spec.Need.Cpu})
+		running = append(running, []any{task, x.run, "", min(100, percent), x.spec.Need.CPU})
 	}
 	body := map[string]any{"ClockMs": e.clock().Milliseconds(), "born": e.born.UnixMilli(), "Running": running,
 		"Ended": slices.Clone(append([][]any{}, e.ended[:min(len(e.ended), listMax)]...))}
--- a/review/sim2/world.go
+++ b/review/sim2/world.go
@@ -56,7 +56,6 @@
 	holdMaxMs    int    // HoldMaxMs in the settings
 	stopMs       int    // StopMs in the settings
 
-	mu     sync.Mutex
 	client *http.Client
 }
 
@@ -193,17 +192,6 @@
 	return nil
 }
 
-func (w *world) signal(h *entryHost, s syscall.Signal) {
-	w.record.line("host %d gets signal %v", h.index, s)
-	_ = h.cmd.Process.Signal(s)
-}
-
-// kill ends a host at once.
-func (w *world) kill(h *entryHost) {
-	w.signal(h, syscall.SIGKILL)
-	_ = h.cmd.Wait()
-}
-
 // close ends all processes that the case has started, and keeps their logs if KEEP names a folder.
 func (w *world) close() {
 	for _, h := range w.hosts {
@@ -244,7 +232,7 @@
 // step is a step of a submitted job.
 type step struct {
 	Count        int
-	Cpu          int  `json:",omitempty"`
+	CPU          int  `json:"Cpu,omitempty"`
 	MemMb        int  `json:",omitempty"`
 	Gpu          int  `json:",omitempty"`
 	EstimateMs   int  `json:",omitempty"`
@@ -265,7 +253,7 @@
 		panic(err) // plain types
 	}
 	for i := range steps {
-		steps[i].Cpu, steps[i].MemMb, steps[i].Gpu, steps[i].EstimateMs = s.Need.Cpu, s.Need.MemMb, s.Need.Gpu, s.RunMs
+		steps[i].CPU, steps[i].MemMb, steps[i].Gpu, steps[i].EstimateMs = s.Need.CPU, s.Need.MemMb, s.Need.Gpu, s.RunMs
 	}
 	body, err := json.Marshal(map[string]any{"Spec": string(text), "Steps": steps})
 	if err != nil {
