--- a/review/sim2/resets.go
+++ b/review/sim2/resets.go
@@ -98,14 +98,4 @@
 }
 
 // runs reports whether a work item runs.
-func (f *fleet) runs(task string) bool {
-	for _, e := range f.executors {
-		e.mu.Lock()
-		found := e.running[task] != nil
-		e.mu.Unlock()
-		if found {
-			return true
-		}
-	}
-	return false
-}
+func (f *fleet) runs(task string) bool { return f.host(task) != nil }
--- a/review/sim2/world.go
+++ b/review/sim2/world.go
@@ -231,14 +231,17 @@
 
 // step is a step of a submitted job.
 type step struct {
-	Count        int
-	CPU          int  `json:"Cpu,omitempty"`
-	MemMb        int  `json:",omitempty"`
-	Gpu          int  `json:",omitempty"`
-	EstimateMs   int  `json:",omitempty"`
-	LongRunning  bool `json:",omitempty"`
-	MayMiss      int  `json:",omitempty"`
-	AntiAffinity int  `json:",omitempty"`
+	Count             int
+	CPU               int    `json:"Cpu,omitempty"`
+	MemMb             int    `json:",omitempty"`
+	Gpu               int    `json:",omitempty"`
+	EstimateMs        int    `json:",omitempty"`
+	LongRunning       bool   `json:",omitempty"`
+	MayMiss           int    `json:",omitempty"`
+	AntiAffinity      int    `json:",omitempty"`
+	TargetMs          int    `json:",omitempty"`
+	Fills, Checkpoint bool   `json:",omitempty"`
+	Image             string `json:",omitempty"`
 }
 
 // submit hands a job of one step in, see submitSteps.
