--- a/review/sim2/executor.go
+++ b/review/sim2/executor.go
@@ -45,6 +45,15 @@
 	RunMs   int
 	Need    resources
 	Lasting bool
+	Fills   bool
+}
+
+// counted returns what counts against the capacity of an executor: the Cpu of what fills doesn't.
+func (s spec) counted() resources {
+	if s.Fills {
+		return resources{MemMb: s.Need.MemMb, Gpu: s.Need.Gpu}
+	}
+	return s.Need
 }
 
 // execution is a run of a work item on an executor.
@@ -285,9 +294,9 @@
 	if err := json.Unmarshal([]byte(c.Spec), &s); err != nil {
 		e.fleet.violate("%s was started with another Spec", c.Task)
 	}
-	used := s.Need
+	used := s.counted()
 	for _, x := range e.running {
-		used = used.plus(x.spec.Need)
+		used = used.plus(x.spec.counted())
 	}
 	switch {
 	case c.Run <= e.highest[c.Task]:
--- a/review/sim2/fills.go
+++ b/review/sim2/fills.go
@@ -8,10 +8,19 @@
 // finishTime is finish_s: how long after the end of the traffic jobs are judged.
 const finishTime = 14 * time.Second
 
-// fillingJob has a serving job on six of seven executors and a job that fills on the seventh, which then leaves. The rest of the fleet has room for the job
-// many times over, so that it must run on.
+// fillingJob has a lasting job use an eighth of the cores of six of seven executors, and a job that fills run on the seventh, which then leaves. Its Cpu isn't
+// counted against an executor's capacity, so that it must run on.
 func fillingJob(w *world, trouble bool) bool {
-	const executors, serving, filling = 7, "00000000000000aa", "00000000000000bb"
+	return w.playFilling(trouble, step{}, spec{RunMs: 6000, Fills: true, Need: resources{120000, 8000, 0}})
+}
+
+// fillingBesideServing is fillingJob with a serving job and a job that needs few cores.
+func fillingBesideServing(w *world, trouble bool) bool {
+	return w.playFilling(trouble, step{TargetMs: 200, Image: "front"}, spec{RunMs: 6000, Fills: true, Need: resources{4000, 8000, 0}})
+}
+
+func (w *world) playFilling(trouble bool, lasting step, fills spec) bool {
+	const executors, others, filling = 7, "00000000000000aa", "00000000000000bb"
 	for i := range executors {
 		w.fleet.add(fmt.Sprintf("i-%d", i), "r0", resources{128000, 512000, 8})
 	}
@@ -19,15 +28,15 @@
 	if !w.start(3) {
 		return false
 	}
-	if !w.submitSteps("q", serving, spec{Lasting: true, Need: resources{8000, 8000, 1}},
-		step{Count: executors - 1, AntiAffinity: 1, LongRunning: true, TargetMs: 200, Image: "front"}) {
+	lasting.Count, lasting.AntiAffinity, lasting.LongRunning = executors-1, 1, true
+	if !w.submitSteps("q", others, spec{Lasting: true, Need: resources{16000, 8000, 1}}, lasting) {
 		return false
 	}
 	if !await(15*time.Second, func() bool { return w.fleet.running() == executors-1 }) {
-		w.record.fail("the serving job doesn't run")
+		w.record.fail("the lasting job doesn't run")
 		return false
 	}
-	if !w.submitSteps("s", filling, spec{RunMs: 6000, Need: resources{4000, 8000, 0}}, step{Count: 1, Fills: true, Checkpoint: true, Image: "batch"}) {
+	if !w.submitSteps("s", filling, fills, step{Count: 1, Fills: true, Checkpoint: true, Image: "batch"}) {
 		return false
 	}
 	task := filling + ".0.0.0"
--- a/review/sim2/main.go
+++ b/review/sim2/main.go
@@ -17,11 +17,12 @@
 
 // cases maps the names of the cases to their functions, which return whether the rule was broken.
 var cases = map[string]func(w *world, trouble bool) bool{
-	"crashed-executor": crashedExecutor,
-	"filling-job":      fillingJob,
-	"late-upkeep":      lateUpkeep,
-	"leaving-executor": leavingExecutor,
-	"reset-channels":   resetChannels,
+	"crashed-executor":       crashedExecutor,
+	"filling-job":            fillingJob,
+	"filling-beside-serving": fillingBesideServing,
+	"late-upkeep":            lateUpkeep,
+	"leaving-executor":       leavingExecutor,
+	"reset-channels":         resetChannels,
 }
 
 func main() {
