--- a/review/sim2/executor.go
+++ b/review/sim2/executor.go
@@ -93,6 +93,8 @@
 	executors []*executor
 	// onStart is called after an executor has begun a work item; nil does nothing.
 	onStart func(e *executor, task string, run int)
+	// onStop is called, with the executor locked, when a work item that runs is told to stop; nil does nothing.
+	onStop func(e *executor, task string, x *execution)
 
 	mu         sync.Mutex
 	starts     map[string]int            // by work item
@@ -327,6 +329,9 @@
 func (e *executor) stop(c call) {
 	if x := e.running[c.Task]; x != nil && x.run <= c.Run && x.stopAt.IsZero() {
 		x.stopAt = time.Now().Add(stopTime)
+		if e.fleet.onStop != nil {
+			e.fleet.onStop(e, c.Task, x)
+		}
 	}
 	e.highest[c.Task] = max(e.highest[c.Task], c.Run)
 }
--- a/review/sim2/main.go
+++ b/review/sim2/main.go
@@ -20,6 +20,8 @@
 	"crashed-executor":       crashedExecutor,
 	"filling-job":            fillingJob,
 	"filling-beside-serving": fillingBesideServing,
+	"dead-executor":          deadExecutor,
+	"takeover":               takeover,
 	"late-upkeep":            lateUpkeep,
 	"leaving-executor":       leavingExecutor,
 	"reset-channels":         resetChannels,
