--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -64,9 +64,17 @@
 type Client struct {
 	mu     sync.Mutex
 	idle   map[string][]*conn
+	open   int    // connections that are being opened, in use or idle
+	peak   int    // highest value of open since the last TakePeak
 	onOpen func() // called for each opened connection; may be nil
 }
 
+// Counts are the numbers of a client's connections. Each one uses a file descriptor.
+type Counts struct {
+	Active int // being opened or in use by a call
+	Idle   int
+}
+
 type conn struct {
 	net.Conn
 	reader      *bufio.Reader
@@ -76,6 +84,45 @@
 // New returns a client. onOpen is called for each opened connection and may be nil.
 func New(onOpen func()) *Client { return &Client{idle: map[string][]*conn{}, onOpen: onOpen} }
 
+// Counts returns the current numbers of connections.
+func (c *Client) Counts() Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	idle := 0
+	for _, list := range c.idle {
+		idle += len(list)
+	}
+	return Counts{Active: c.open - idle, Idle: idle}
+}
+
+// TakePeak returns the highest number of connections since the last call of TakePeak.
+func (c *Client) TakePeak() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	peak := c.peak
+	c.peak = c.open
+	return peak
+}
+
+// reserve counts a connection that is about to be opened.
+func (c *Client) reserve() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open++
+	c.peak = max(c.peak, c.open)
+}
+
+// release counts connections that were closed or could not be opened. The caller holds the lock.
+func (c *Client) release(n int) { c.open -= n }
+
+// discard closes a connection that is not idle.
+func (c *Client) discard(cn *conn) {
+	_ = cn.Close()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.release(1)
+}
+
 // Do sends a call and waits for the complete response until ctx ends. The error wraps ErrNotSent or ErrNoResponse.
 func (c *Client) Do(ctx context.Context, r Request) (Response, error) {
 	cn, err := c.get(ctx, r.Address)
@@ -96,7 +143,7 @@
 	resp, reusable, err := cn.roundTrip(r)
 	stopped := stop()
 	if err != nil || !reusable || !stopped {
-		_ = cn.Close()
+		c.discard(cn)
 	} else {
 		cn.respondedAt = time.Now()
 		c.put(r.Address, cn)
@@ -117,6 +164,7 @@
 		stale := cn.respondedAt.Before(since)
 		if stale {
 			_ = cn.Close()
+			c.release(1)
 		}
 		return stale
 	})
@@ -131,11 +179,15 @@
 		if idle, _ := netconn.CheckIdle(cn.Conn); idle && cn.reader.Buffered() == 0 {
 			return cn, nil
 		}
-		_ = cn.Close()
+		c.discard(cn)
 	}
+	c.reserve()
 	dialer := net.Dialer{Timeout: dialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.release(1)
 		return nil, err
 	}
 	if c.onOpen != nil {
@@ -161,6 +213,7 @@
 	defer c.mu.Unlock()
 	if len(c.idle[address]) >= maxIdlePerAddress {
 		_ = cn.Close()
+		c.release(1)
 		return
 	}
 	c.idle[address] = append(c.idle[address], cn)
--- a/internal/httpcall/httpcall_test.go
+++ b/internal/httpcall/httpcall_test.go
@@ -139,3 +139,41 @@
 	_, err = do(c, address, 100*time.Millisecond)
 	must.NoError(t, err)
 }
+
+// Guards against counts of connections that drift from the open ones: those that fail to open, break, are idle or are in use.
+func TestCountsFollowConnections(t *testing.T) {
+	var hold sync.WaitGroup
+	hold.Add(1)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Hold") != "" {
+			hold.Wait()
+		}
+	}))
+	defer server.Close()
+	c := New(nil)
+	address := server.Listener.Addr().String()
+	_, err := do(c, address, time.Second)
+	must.NoError(t, err)
+	must.Eq(t, Counts{Idle: 1}, c.Counts())
+	held := make(chan error)
+	for range 2 {
+		go func() {
+			_, err := c.Do(t.Context(), Request{Address: address, Method: http.MethodGet, Target: "/", Header: []Header{{"X-Hold", "1"}}})
+			held <- err
+		}()
+	}
+	for c.Counts().Active < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	hold.Done()
+	must.NoError(t, <-held)
+	must.NoError(t, <-held)
+	must.Eq(t, Counts{Idle: 2}, c.Counts())
+	must.Eq(t, 2, c.TakePeak())
+	server.Close()
+	_, err = do(c, address, time.Second)
+	must.ErrorIs(t, err, ErrNotSent)
+	must.Eq(t, Counts{}, c.Counts())
+	must.Eq(t, 2, c.TakePeak())
+	must.Eq(t, 0, c.TakePeak())
+}
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -103,17 +103,17 @@
 	s.leaving.Store(true)
 	s.stopping.Store(true)
 	_ = s.listener.Close()
-	log := s.log.WithFields(logrus.Fields{"address": s.address, "connections": s.openConns(), "in_progress": s.active.Load()})
+	log := s.log.WithFields(logrus.Fields{"address": s.address, "connections": s.Connections(), "in_progress": s.active.Load()})
 	s.wakeReaders()
 	if end, ok := ctx.Deadline(); ok {
 		defer time.AfterFunc(time.Until(end)-responseTime, s.endRequests).Stop()
 	}
-	for s.openConns() > 0 && ctx.Err() == nil {
+	for s.Connections() > 0 && ctx.Err() == nil {
 		time.Sleep(stopPollInterval)
 	}
 	s.endRequests()
 	interrupted := s.active.Load()
-	log.WithFields(logrus.Fields{"left_open": s.openConns(), "interrupted": interrupted}).Info("connections closed")
+	log.WithFields(logrus.Fields{"left_open": s.Connections(), "interrupted": interrupted}).Info("connections closed")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -134,7 +134,8 @@
 	}
 }
 
-func (s *Server) openConns() int {
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.conns)
--- a/internal/httpserve/httpserve_test.go
+++ b/internal/httpserve/httpserve_test.go
@@ -95,7 +95,7 @@
 
 // awaitAccepted waits until the server has accepted a connection: the system resets those that still wait for that when the listener is closed.
 func awaitAccepted(t *testing.T, s *Server) {
-	for end := time.Now().Add(5 * time.Second); s.openConns() == 0; time.Sleep(10 * time.Microsecond) {
+	for end := time.Now().Add(5 * time.Second); s.Connections() == 0; time.Sleep(10 * time.Microsecond) {
 		must.True(t, time.Now().Before(end))
 	}
 }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -68,6 +68,19 @@
 	}
 }
 
+// Connections returns the number of open connections.
+func (p *Pool) Connections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, l := range p.links {
+		if l.openConn() != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // Disconnect closes the connection to an address that is no longer used.
 func (p *Pool) Disconnect(address string) {
 	p.mu.Lock()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -58,6 +58,13 @@
 	}()
 }
 
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
 // Close closes all connections. The caller closes the listener.
 func (s *Server) Close() {
 	s.mu.Lock()
