Bound the age and the number of idle connections

Cause: the client kept up to 8 idle connections to each address without a limit of age or of their total, and looked at one only when the next call went to the same address.

Change: an idle connection is closed after 30 s without a call. Connections to workers are bounded by what the others leave of the descriptors, less an eighth; at the bound the least recently used idle one is closed, and a call waits within its time if all are in use.

Why this works: no connection outlives its last call by more than 30 s whoever its owner was, also on a host that no longer leads, and the sum can't reach the limit however many workers there are.

--- a/internal/descriptors/descriptors.go
+++ b/internal/descriptors/descriptors.go
@@ -15,6 +15,11 @@
 const (
 	// logInterval is the interval of the log line with the numbers of connections.
 	logInterval = 5 * time.Second
+	// reservedForFiles is the number of descriptors that connections leave to files and to the runtime.
+	reservedForFiles = 200
+	// headroomShare is the fraction of the descriptors for connections, as its divisor, that a bounded kind leaves free, since other connections may be
+	// accepted before it is bounded anew. minShare is likewise the fraction that it may always use.
+	headroomShare, minShare = 8, 8
 	// descriptorDir lists the open descriptors of the process.
 	descriptorDir = "/proc/self/fd"
 )
@@ -69,6 +74,19 @@
 	return len(entries) - 1 // one is that of the listing itself
 }
 
+// Room returns how many connections the kind may have: what the others leave, with some headroom.
+func (m *Monitor) Room(kind string) int {
+	connections := m.limit - reservedForFiles
+	others := 0
+	for _, k := range m.kinds {
+		if k.Name != kind {
+			n := k.Count()
+			others += n.Active + n.Idle
+		}
+	}
+	return max(1, connections/minShare, connections-connections/headroomShare-others)
+}
+
 // Describe implements prometheus.Collector.
 func (m *Monitor) Describe(out chan<- *prometheus.Desc) {
 	out <- connectionsDesc
@@ -104,6 +122,7 @@
 // fields returns the numbers as fields of a log line; kinds without connections are left out.
 func (m *Monitor) fields() logrus.Fields {
 	out := logrus.Fields{"descriptors": InUse(), "descriptor_limit": m.limit}
+	total := 0
 	add := func(name string, n int) {
 		if n > 0 {
 			out[name] = n
@@ -111,11 +130,13 @@
 	}
 	for _, k := range m.kinds {
 		n := k.Count()
+		total += n.Active + n.Idle
 		add(k.Name+"_active", n.Active)
 		add(k.Name+"_idle", n.Idle)
 		if k.TakePeak != nil {
 			add(k.Name+"_peak", k.TakePeak())
 		}
 	}
+	out["open_connections"] = total
 	return out
 }
--- a/internal/descriptors/descriptors_test.go
+++ b/internal/descriptors/descriptors_test.go
@@ -42,5 +42,5 @@
 	f := m.fields()
 	must.Positive(t, f["descriptors"].(int))
 	delete(f, "descriptors")
-	must.MapEq(t, map[string]any{"descriptor_limit": 4100, "workers_active": 2, "workers_idle": 3, "workers_peak": 7, "callers_active": 4}, f)
+	must.MapEq(t, map[string]any{"descriptor_limit": 4100, "open_connections": 9, "workers_active": 2, "workers_idle": 3, "workers_peak": 7, "callers_active": 4}, f)
 }
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -5,11 +5,12 @@
 import (
 	"bufio"
 	"bytes"
+	"container/list"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -25,6 +26,11 @@
 	dialTimeout = 500 * time.Millisecond
 	// maxIdlePerAddress is the maximum number of idle connections that are kept to one address.
 	maxIdlePerAddress = 8
+	// defaultIdleTimeout is the time without a call after which an idle connection is closed. It exceeds the time of common tasks: a worker gets several
+	// orders at once when runs on it begin or end, and with a shorter timeout connections would be opened each time.
+	defaultIdleTimeout = 30 * time.Second
+	// sweepsPerTimeout is how often idle connections are checked within the idle timeout.
+	sweepsPerTimeout = 15
 	// maxResponseBytes bounds the body of a response; a larger one gives ErrNoResponse.
 	maxResponseBytes = 8 << 20
 	readBufferBytes  = 2048
@@ -61,12 +67,22 @@
 }
 
 // Client sends calls and keeps idle connections for reuse. It is safe for concurrent use.
+//
+// An idle connection is closed after some time without a call, so that connections to addresses that are no longer called are not kept. If a call needs
+// a new connection at the limit of open ones, the connection that was idle for the longest time is closed.
 type Client struct {
-	mu     sync.Mutex
-	idle   map[string][]*conn
-	open   int    // connections that are being opened, in use or idle
-	peak   int    // highest value of open since the last TakePeak
-	onOpen func() // called for each opened connection; may be nil
+	onOpen      func() // called for each opened connection; may be nil
+	idleTimeout time.Duration
+
+	mu      sync.Mutex
+	idle    map[string][]*conn // by address, without empty lists
+	byUse   list.List          // all idle connections, the least recently used first
+	open    int                // connections that are being opened, in use or idle
+	peak    int                // highest value of open since the last TakePeak
+	limit   int                // open connections, as of the last sweep
+	limitOf func() int         // current limit of open connections; nil means none
+	waiting list.List          // chan struct{} of each call that waits for a connection to be closed
+	sweeper *time.Timer        // nil while no connection is idle
 }
 
 // Counts are the numbers of a client's connections. Each one uses a file descriptor.
@@ -77,22 +93,31 @@
 
 type conn struct {
 	net.Conn
+	address     string
 	reader      *bufio.Reader
-	respondedAt time.Time // when the newest response was complete
+	respondedAt time.Time     // when the newest response was complete
+	idleSince   time.Time     // while idle
+	inByUse     *list.Element // while idle
 }
 
 // New returns a client. onOpen is called for each opened connection and may be nil.
-func New(onOpen func()) *Client { return &Client{idle: map[string][]*conn{}, onOpen: onOpen} }
+func New(onOpen func()) *Client {
+	return &Client{onOpen: onOpen, idleTimeout: defaultIdleTimeout, idle: map[string][]*conn{}, limit: math.MaxInt}
+}
+
+// SetLimit bounds the open connections by what limit returns. It is called regularly while connections are idle, without locks of the client.
+func (c *Client) SetLimit(limit func() int) {
+	n := limit()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.limitOf, c.limit = limit, n
+}
 
 // Counts returns the current numbers of connections.
 func (c *Client) Counts() Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	idle := 0
-	for _, list := range c.idle {
-		idle += len(list)
-	}
-	return Counts{Active: c.open - idle, Idle: idle}
+	return Counts{Active: c.open - c.byUse.Len(), Idle: c.byUse.Len()}
 }
 
 // TakePeak returns the highest number of connections since the last call of TakePeak.
@@ -104,25 +129,6 @@
 	return peak
 }
 
-// reserve counts a connection that is about to be opened.
-func (c *Client) reserve() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.open++
-	c.peak = max(c.peak, c.open)
-}
-
-// release counts connections that were closed or could not be opened. The caller holds the lock.
-func (c *Client) release(n int) { c.open -= n }
-
-// discard closes a connection that is not idle.
-func (c *Client) discard(cn *conn) {
-	_ = cn.Close()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.release(1)
-}
-
 // Do sends a call and waits for the complete response until ctx ends. The error wraps ErrNotSent or ErrNoResponse.
 func (c *Client) Do(ctx context.Context, r Request) (Response, error) {
 	cn, err := c.get(ctx, r.Address)
@@ -135,7 +141,7 @@
 		_ = cn.SetDeadline(time.Time{})
 	}
 	if r.StillAllowed != nil && !r.StillAllowed() {
-		c.put(r.Address, cn)
+		c.put(cn)
 		return Response{}, errors.WithStack(ErrNotAllowed)
 	}
 	sent := time.Now()
@@ -146,7 +152,7 @@
 		c.discard(cn)
 	} else {
 		cn.respondedAt = time.Now()
-		c.put(r.Address, cn)
+		c.put(cn)
 	}
 	if err != nil {
 		c.discardIdle(r.Address, sent)
@@ -155,21 +161,6 @@
 	return resp, nil
 }
 
-// discardIdle closes the idle connections to an address on which no response was received since the given time. The failure that kept a call from
-// being answered may have made them unresponsive too.
-func (c *Client) discardIdle(address string, since time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.idle[address] = slices.DeleteFunc(c.idle[address], func(cn *conn) bool {
-		stale := cn.respondedAt.Before(since)
-		if stale {
-			_ = cn.Close()
-			c.release(1)
-		}
-		return stale
-	})
-}
-
 func (c *Client) get(ctx context.Context, address string) (*conn, error) {
 	for {
 		cn := c.takeIdle(address)
@@ -181,42 +172,21 @@
 		}
 		c.discard(cn)
 	}
-	c.reserve()
+	if err := c.reserve(ctx); err != nil {
+		return nil, err
+	}
 	dialer := net.Dialer{Timeout: dialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.release(1)
+		c.release()
 		return nil, err
 	}
 	if c.onOpen != nil {
 		c.onOpen()
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
-}
-
-func (c *Client) takeIdle(address string) *conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	list := c.idle[address]
-	if len(list) == 0 {
-		return nil
-	}
-	cn := list[len(list)-1]
-	c.idle[address] = list[:len(list)-1]
-	return cn
-}
-
-func (c *Client) put(address string, cn *conn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if len(c.idle[address]) >= maxIdlePerAddress {
-		_ = cn.Close()
-		c.release(1)
-		return
-	}
-	c.idle[address] = append(c.idle[address], cn)
+	return &conn{Conn: raw, address: address, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
 }
 
 // roundTrip sends the request and reads the response; reusable reports whether the connection can be reused.
