Close connections to other hosts that aren't used any more

Cause: the pool kept a connection, its goroutine and a map entry for each host that this host has ever called, such as former leaders, hosts that relayed calls and hosts that have left. Disconnect was meant for that and had no caller.

Change: a connection is closed and forgotten after 60 s without a call. A call in progress keeps it. Disconnect is gone.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -26,6 +26,8 @@
 	writeTimeout       = 2 * time.Second       // longest time that one write may block; the connection of a peer that reads nothing is closed
 	minBackoff         = 50 * time.Millisecond // first pause between two attempts to connect; it doubles with each failure
 	maxBackoff         = 2 * time.Second       // longest pause between two attempts to connect
+	idleLinkTimeout    = 60 * time.Second      // time without a call after which a connection is closed; hosts that work together call each other every few seconds
+	sweepsPerTimeout   = 4                     // how often connections are checked within the idle timeout
 	maxUnansweredCalls = 4                     // consecutive calls without a response after which the connection is closed and opened again
 )
 
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -19,21 +19,24 @@
 // DialFunc opens a connection to an address.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Pool keeps one outgoing connection to each peer. It connects on the first call and reconnects with backoff.
+// Pool keeps one outgoing connection to each peer. It connects on the first call and reconnects with backoff. It closes and forgets a connection that
+// wasn't used for some time, so that nothing is kept for addresses of peers that have left.
 type Pool struct {
-	self  Identity
-	dial  DialFunc
-	clock clock.Clock
-	stats *Stats
+	self        Identity
+	dial        DialFunc
+	clock       clock.Clock
+	stats       *Stats
+	idleTimeout time.Duration
 
-	mu     sync.Mutex
-	links  map[string]*link // by address
-	closed bool
+	mu      sync.Mutex
+	links   map[string]*link // by address
+	sweeper *time.Timer      // nil without links
+	closed  bool
 }
 
 // NewPool returns a pool without connections.
 func NewPool(self Identity, dial DialFunc, c clock.Clock, stats *Stats) *Pool {
-	return &Pool{self: self, dial: dial, clock: c, stats: stats, links: map[string]*link{}}
+	return &Pool{self: self, dial: dial, clock: c, stats: stats, idleTimeout: idleLinkTimeout, links: map[string]*link{}}
 }
 
 // Call sends a request to the peer at the address and decodes its result into result. A context without a deadline
@@ -45,10 +48,11 @@
 		ctx, cancel = context.WithTimeout(ctx, DefaultDeadline)
 		defer cancel()
 	}
-	l, err := p.link(address)
+	l, err := p.acquire(address)
 	if err != nil {
 		return err
 	}
+	defer p.release(l)
 	conn, err := l.connect(ctx)
 	if err != nil {
 		return err
@@ -62,6 +66,9 @@
 	p.closed = true
 	links := p.links
 	p.links = map[string]*link{}
+	if p.sweeper != nil {
+		p.sweeper.Stop()
+	}
 	p.mu.Unlock()
 	for _, l := range links {
 		l.shutdown()
@@ -81,18 +88,8 @@
 	return n
 }
 
-// Disconnect closes the connection to an address that is no longer used.
-func (p *Pool) Disconnect(address string) {
-	p.mu.Lock()
-	l := p.links[address]
-	delete(p.links, address)
-	p.mu.Unlock()
-	if l != nil {
-		l.shutdown()
-	}
-}
-
-func (p *Pool) link(address string) (*link, error) {
+// acquire returns the link to an address for one call, after which it has to be released.
+func (p *Pool) acquire(address string) (*link, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -103,15 +100,45 @@
 		l = &link{pool: p, address: address, dialLock: make(chan struct{}, 1)}
 		p.links[address] = l
 	}
+	l.calls++
+	if p.sweeper == nil {
+		p.sweeper = time.AfterFunc(p.idleTimeout/sweepsPerTimeout, p.sweep)
+	}
 	return l, nil
 }
 
+func (p *Pool) release(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.calls--
+	l.usedAt = time.Now()
+}
+
+// sweep closes and forgets the links that weren't used for some time.
+func (p *Pool) sweep() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, l := range p.links {
+		if l.calls == 0 && time.Since(l.usedAt) > p.idleTimeout {
+			delete(p.links, address)
+			go l.shutdown()
+		}
+	}
+	p.sweeper = nil
+	if len(p.links) > 0 {
+		p.sweeper = time.AfterFunc(p.idleTimeout/sweepsPerTimeout, p.sweep)
+	}
+}
+
 // link is the connection to one peer.
 type link struct {
 	pool     *Pool
 	address  string
 	dialLock chan struct{} // holds a token while a caller connects
 
+	calls  int       // in progress; guarded by pool.mu
+	usedAt time.Time // when the last call ended; guarded by pool.mu
+
 	conn       atomic.Pointer[jsonrpc2.Conn]
 	unanswered atomic.Int32 // consecutive calls without a response
 	closed     atomic.Bool
