Forget workers and hosts that have left in maps of the leader

Three maps of a leader have an entry for each worker or host ever met: the advice on a step that waits (tickets and refusals), the workers on which a task failed, and the pauses of the hosts that send requests to the adviser. With 20 fleets of 200 workers a waiting step remembered 4,000. One of them also decided wrongly: workers that have left counted for "failed on more than half of the workers", so that a task could start again on a worker on which it had failed.

Change: entries of workers that have left are dropped once a map has more than 1,000 entries and twice the number of workers; below that they are kept, since the registry loses workers for seconds while the table is down. Only present workers count for the half. Pauses of hosts that aren't listed any more go at the next request.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -135,6 +136,7 @@
 const requestInFlight = time.Duration(1<<63 - 1)
 
 func (c *Core) idleRequester(now time.Duration, requesters []string) (string, bool) {
+	c.forgetRequesters(requesters)
 	for _, a := range requesters {
 		if now >= c.nextAdviceAt[a] {
 			return a, true
@@ -143,6 +145,16 @@
 	return "", false
 }
 
+// forgetRequesters drops the pauses of hosts that have left, unless a request of theirs is in flight.
+func (c *Core) forgetRequesters(current []string) {
+	if len(c.nextAdviceAt) <= len(current) {
+		return
+	}
+	maps.DeleteFunc(c.nextAdviceAt, func(a string, next time.Duration) bool {
+		return next != requestInFlight && !slices.Contains(current, a)
+	})
+}
+
 func (c *Core) liveByPriority() []*job {
 	out := slices.Clone(c.liveJobs)
 	slices.SortStableFunc(out, func(a, b *job) int { return cmp.Compare(a.Queue.Priority, b.Queue.Priority) })
@@ -164,6 +176,8 @@
 	if s.advice == nil {
 		s.advice = &stepAdvice{tickets: map[string]ticket{}, refused: map[string]bool{}}
 	}
+	forgetLeftWorkers(c, s.advice.tickets)
+	forgetLeftWorkers(c, s.advice.refused)
 	spec := &j.Steps[step]
 	rackCapacity := map[string]int{}
 	var candidates []*worker
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -176,14 +177,30 @@
 
 // avoidedWorkers returns the workers on which the group failed; nil if these are more than half of the workers.
 func (c *Core) avoidedWorkers(in *planInput, g *taskGroup) map[int]bool {
-	if len(g.avoidedWorkers) == 0 || 2*len(g.avoidedWorkers) > len(in.workers) {
+	if len(g.avoidedWorkers) == 0 {
 		return nil
 	}
+	forgetLeftWorkers(c, g.avoidedWorkers)
 	out := map[int]bool{}
 	for id := range g.avoidedWorkers {
 		if i, ok := in.workerIndex[id]; ok {
 			out[i] = true
 		}
 	}
+	if 2*len(out) > len(in.workers) {
+		return nil
+	}
 	return out
 }
+
+// minRemembered is the number of workers that are remembered for a step or task even if they have left: the registry loses workers for seconds while the
+// table is down, and what is known of them is still true afterwards.
+const minRemembered = 1000
+
+// forgetLeftWorkers drops the workers that have left from a map by worker once most of its entries are of such workers.
+func forgetLeftWorkers[V any](c *Core, byWorker map[string]V) {
+	if len(byWorker) <= max(minRemembered, 2*len(c.workers)) {
+		return
+	}
+	maps.DeleteFunc(byWorker, func(id string, _ V) bool { return !c.HasWorker(id) })
+}
