Don't blame workers for a lack of descriptors on the host

Each worker that needed a new connection was so closed to new work, and counted as unresponsive, although it was sound.

Change: a call that fails for lack of descriptors or of free connections gives no_connection. The task waits, the worker gets no start for 300 ms, and its health and its leases stay as they are.

--- a/internal/dispatch/delivery_test.go
+++ b/internal/dispatch/delivery_test.go
@@ -184,3 +184,30 @@
 	r.send(context.Background(), start)
 	must.Eq(t, running, r.core.task(start.Task).phase, must.Sprint("one lost packet must not break a gang"))
 }
+
+// Guards against workers that are closed to new work, and against runs that are taken for lost, because the leader itself has no descriptors left.
+func TestLackOfConnectionsIsNoFailureOfTheWorker(t *testing.T) {
+	r, start, _ := orderedStart(t, NoConnection)
+	for range 10 {
+		r.core.OnStart(start, Delivery{Result: NoConnection, Response: NoConnection}, r.clock.SinceBoot())
+		r.core.OnRenewalNotSent("w")
+	}
+	r.send(context.Background(), start)
+	must.Eq(t, waiting, r.core.task(start.Task).phase)
+	must.SliceEmpty(t, r.core.TakeOrders(), must.Sprint("there is nothing to stop"))
+	w := r.core.workers["w"]
+	must.True(t, w.health.trusted(r.clock.SinceBoot()))
+	must.False(t, w.unresponsive)
+	must.True(t, w.renewalDue)
+	r.Do(func(c *Core, now time.Duration) {
+		c.Plan(now)
+		must.SliceEmpty(t, c.TakeOrders(), must.Sprint("a start that follows at once fails too"))
+		c.Plan(now + fullWorkerPause)
+		c.OnStored(c.TakeCommit(), now+fullWorkerPause)
+	})
+	must.SliceLen(t, 1, r.core.TakeOrders())
+
+	r, start, _ = orderedStart(t, Unknown, NoConnection)
+	r.send(context.Background(), start)
+	must.Eq(t, stopping, r.core.task(start.Task).phase, must.Sprint("the first copy may still be carried out"))
+}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -38,13 +38,14 @@
 	Unhealthy        // the worker refused and has done nothing
 	OtherIncarnation // another incarnation of the worker responded
 	Invalid          // the worker can't interpret the order
+	NoConnection     // this host could not open a connection for lack of descriptors: this copy was not carried out, which tells nothing about the worker
 	NotSent          // no connection to the worker: this copy was not carried out
 	Unknown          // no response: the order may still be carried out
 )
 
 // String returns the name for logs.
 func (r Result) String() string {
-	return [...]string{"", "accepted", "deposed", "superseded", "too_late", "no_room", "no_ticket", "unhealthy", "other_boot", "invalid", "not_sent", "unknown"}[r]
+	return [...]string{"", "accepted", "deposed", "superseded", "too_late", "no_room", "no_ticket", "unhealthy", "other_boot", "invalid", "no_connection", "not_sent", "unknown"}[r]
 }
 
 // Renewal is a call to a worker that renews the lease of all its runs, acknowledges ended runs and reads which runs are present.
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -13,7 +13,8 @@
 const (
 	// stopRetryInterval is the time after which an unconfirmed stop is sent again; several round trips to a slow worker.
 	stopRetryInterval = 500 * time.Millisecond
-	// fullWorkerPause is the time without new starts on a worker that refused one for insufficient capacity, so that its next report comes first.
+	// fullWorkerPause is the time without new starts on a worker that refused one for insufficient capacity, so that its next report comes first, or to
+	// which no connection could be opened.
 	fullWorkerPause = 300 * time.Millisecond
 )
 
@@ -63,6 +64,9 @@
 	case Unhealthy, Invalid, NotSent:
 		w.health.addFailure(now, 1)
 		c.closeRun(t, outcomeRefused, now)
+	case NoConnection:
+		w.fullUntil = now + fullWorkerPause
+		c.closeRun(t, outcomeRefused, now)
 	case TooLate, OtherIncarnation:
 		c.requestRenewal(w)
 		c.closeRun(t, outcomeRefused, now)
@@ -116,7 +120,7 @@
 		return
 	}
 	w := c.workers[o.Worker.ID]
-	if w == nil || r == Unknown || r == NotSent || r == Unhealthy || o.Worker.Incarnation != w.Incarnation {
+	if w == nil || r == Unknown || r == NotSent || r == NoConnection || r == Unhealthy || o.Worker.Incarnation != w.Incarnation {
 		return // an earlier incarnation may have confirmed it
 	}
 	k := runKey{o.Task, o.Run}
@@ -420,6 +424,13 @@
 	}
 }
 
+// OnRenewalNotSent handles a renewal for which this host could not open a connection.
+func (c *Core) OnRenewalNotSent(id string) {
+	if w := c.workers[id]; w != nil {
+		w.renewalDue = true
+	}
+}
+
 // SetWorkers applies the registry's list of workers.
 func (c *Core) SetWorkers(list []batch.Worker, now time.Duration) {
 	c.now = now
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -44,7 +44,7 @@
 	// Advise requests tickets for the workers that may run a step.
 	Advise(ctx context.Context, req AdviceRequest) (Advice, error)
 	// Renew sends a renewal and returns the worker's report. ErrRenewalRefused means that the worker has seen a newer epoch, ErrReplaced that another
-	// worker responded.
+	// worker responded, ErrNoConnection that nothing was sent because this host has no descriptors left.
 	Renew(ctx context.Context, r Renewal) (WorkerReport, error)
 }
 
@@ -54,6 +54,9 @@
 // ErrReplaced is the error of a renewal to an address at which another worker, or another incarnation of the intended one, responded.
 var ErrReplaced = errors.New("another worker responded at the address")
 
+// ErrNoConnection is the error of a renewal for which this host could not open a connection for lack of descriptors. It tells nothing about the worker.
+var ErrNoConnection = errors.New("this host could not open a connection")
+
 // Clock gives the times that a runner needs.
 type Clock interface {
 	// SinceBoot is a monotonic time that continues while the host is suspended.
@@ -416,6 +419,9 @@
 		case errors.Is(err, ErrReplaced):
 			c.OnReplaced(id, renewal, now)
 			pause = renewalRetryPause
+		case errors.Is(err, ErrNoConnection):
+			c.OnRenewalNotSent(id)
+			pause = renewalRetryPause
 		case err != nil:
 			c.OnRenewalFailed(id, now)
 			pause = renewalRetryPause
--- a/internal/httpcall/httpcall.go
+++ b/internal/httpcall/httpcall.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,6 +43,8 @@
 	ErrNotSent = errors.New("no connection")
 	// ErrNotAllowed is a case of ErrNotSent: StillAllowed forbade the request.
 	ErrNotAllowed = errors.Wrap(ErrNotSent, "too late to send")
+	// ErrExhausted is a case of ErrNotSent: this process can't open another connection now. It tells nothing about the other end.
+	ErrExhausted = errors.Wrap(ErrNotSent, "out of connections")
 	// ErrNoResponse means that no complete response arrived and the call may have been carried out.
 	ErrNoResponse = errors.New("no complete answer")
 )
@@ -133,7 +136,7 @@
 func (c *Client) Do(ctx context.Context, r Request) (Response, error) {
 	cn, err := c.get(ctx, r.Address)
 	if err != nil {
-		return Response{}, errors.Wrap(ErrNotSent, err.Error())
+		return Response{}, notSent(err)
 	}
 	if end, ok := ctx.Deadline(); ok {
 		_ = cn.SetDeadline(end)
@@ -161,6 +164,14 @@
 	return resp, nil
 }
 
+// notSent returns the error of a call for which no connection could be opened.
+func notSent(err error) error {
+	if errors.Is(err, errAllInUse) || errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
+		return errors.Wrap(ErrExhausted, err.Error())
+	}
+	return errors.Wrap(ErrNotSent, err.Error())
+}
+
 func (c *Client) get(ctx context.Context, address string) (*conn, error) {
 	for {
 		cn := c.takeIdle(address)
--- a/internal/httpcall/idle.go
+++ b/internal/httpcall/idle.go
@@ -8,6 +8,9 @@
 	"github.com/pkg/errors"
 )
 
+// errAllInUse means that no connection became free in the time of a call.
+var errAllInUse = errors.New("all connections are in use")
+
 // reserve counts a connection that is about to be opened. At the limit it closes the least recently used idle connections, or waits until a call ends
 // if all connections are in use.
 func (c *Client) reserve(ctx context.Context) error {
@@ -37,7 +40,7 @@
 	default:
 		c.waiting.Remove(place)
 	}
-	return errors.Wrapf(ctx.Err(), "all %d connections are in use", c.open)
+	return errors.Wrapf(errAllInUse, "%d connections", c.open)
 }
 
 // release counts a connection as closed, or leaves its place to a waiting call. The caller holds the lock.
