Report repeated failures of accepting once a second

Change: while accepting fails again and again, one line a second gives the newest error and the number of failures; the last ones are reported when it succeeds again. The counter accept_errors counts all of them as before.

--- a/internal/callkey/sockets_test.go
+++ b/internal/callkey/sockets_test.go
@@ -58,7 +58,7 @@
 	members.Register(methods)
 	keys.Register(methods)
 	server := peer.NewServer(self, methods, stats)
-	go server.Serve(ln, func(error) {})
+	go server.Serve(ln, func(error, int) {})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -185,8 +185,8 @@
 	}
 }
 
-func (h *Host) logFailedAccept(err error) {
-	h.log.WithError(err).Warn("accept of another host's connection failed")
+func (h *Host) logFailedAccept(err error, failures int) {
+	h.log.WithField("failures", failures).WithError(err).Warn("accept of another host's connection failed")
 }
 
 // spawn runs f in a goroutine that Kill waits for. After Kill it does nothing, since the handler of a request of a peer may still call
--- a/internal/front/conn.go
+++ b/internal/front/conn.go
@@ -59,7 +59,7 @@
 }
 
 func (s *Server) accept(ln net.Listener) {
-	netconn.Accept(ln, func(error) { s.counters.Add("accept_errors", 1) }, s.serveConn)
+	netconn.Accept(ln, func(_ error, failures int) { s.counters.Add("accept_errors", int64(failures)) }, s.serveConn)
 }
 
 func (s *Server) serveConn(conn net.Conn) {
--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -142,7 +142,9 @@
 }
 
 func (s *Server) accept(ln net.Listener) {
-	netconn.Accept(ln, func(err error) { s.log.WithError(err).Warn("accept failed") }, func(conn net.Conn) {
+	netconn.Accept(ln, func(err error, failures int) {
+		s.log.WithField("failures", failures).WithError(err).Warn("accept failed")
+	}, func(conn net.Conn) {
 		c := &serverConn{server: s, conn: conn}
 		if !s.track(c) {
 			_ = conn.Close()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -46,7 +46,7 @@
 		},
 	}
 	s := NewServer(identity("server"), methods, NewStats())
-	go s.Serve(ln, func(err error) { t.Errorf("accept: %v", err) })
+	go s.Serve(ln, func(err error, _ int) { t.Errorf("accept: %v", err) })
 	t.Cleanup(func() {
 		_ = ln.Close()
 		s.Close()
@@ -300,7 +300,7 @@
 	must.NoError(t, err)
 	s := NewServer(identity("server"), Registry{"echo": Handle(func(_ context.Context, _ api.HostIdentity, e echo) (echo, error) { return e, nil })}, NewStats())
 	failures := make(chan error, 1)
-	go s.Serve(&failingListener{Listener: ln}, func(err error) { failures <- err })
+	go s.Serve(&failingListener{Listener: ln}, func(err error, _ int) { failures <- err })
 	t.Cleanup(func() {
 		_ = ln.Close()
 		s.Close()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -35,8 +35,8 @@
 	return &Server{self: self, methods: methods, stats: stats, conns: map[*jsonrpc2.Conn]struct{}{}}
 }
 
-// Serve accepts connections until the listener is closed. Other errors are passed to onError, and accepting continues.
-func (s *Server) Serve(ln net.Listener, onError func(error)) {
+// Serve accepts connections until the listener is closed. See netconn.Accept on onError.
+func (s *Server) Serve(ln net.Listener, onError func(err error, failures int)) {
 	netconn.Accept(ln, onError, s.startSession)
 }
 
