Drop idle entries and connections of the failure domain mode

Change: an entry goes with the last ping in flight; idle connections are closed after 90 s.

Evidence: tests of member, platform and entry pass with the race detector. The last demand number of a host is kept on purpose, since a view may come back.

--- a/internal/member/service.go
+++ b/internal/member/service.go
@@ -135,7 +135,9 @@
 func (s *Service) sendPing(ctx context.Context, o OutgoingPing) {
 	defer func() {
 		s.mu.Lock()
-		s.pingsInFlight[o.To]--
+		if s.pingsInFlight[o.To]--; s.pingsInFlight[o.To] == 0 {
+			delete(s.pingsInFlight, o.To)
+		}
 		s.mu.Unlock()
 	}()
 	host, ok := s.host(o.To)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -23,6 +23,8 @@
 	maxResponseBytes = 64 << 20
 	// maxIdleConns is the number of idle connections to the platform that are kept open, enough for the concurrent requests of one host.
 	maxIdleConns = 16
+	// idleConnTimeout closes connections to a platform that has moved or no longer responds. It exceeds the intervals of the regular calls.
+	idleConnTimeout = 90 * time.Second
 )
 
 // ErrRejected means that the platform refused the request as malformed; it had no effect.
@@ -74,6 +76,7 @@
 			return conn, nil
 		},
 		MaxIdleConnsPerHost: maxIdleConns,
+		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}
 	return &Client{
