Make the test of starts without connections fail on the former handling

Change: the test now sends five starts, each of which fails for lack of a connection, and expects a new start after each pause.

Evidence: with NoConnection handled like NotSent it fails ("the worker gets starts again", 0 starts, expected 1); it passes on the code as it is.

--- a/internal/dispatch/delivery_test.go
+++ b/internal/dispatch/delivery_test.go
@@ -188,24 +188,22 @@
 // Guards against workers that are closed to new work, and against runs that are taken for lost, because the leader itself has no descriptors left.
 func TestLackOfConnectionsIsNoFailureOfTheWorker(t *testing.T) {
 	r, start, _ := orderedStart(t, NoConnection)
-	for range 10 {
-		r.core.OnStart(start, Delivery{Result: NoConnection, Response: NoConnection}, r.clock.SinceBoot())
+	now := r.clock.SinceBoot()
+	for range 5 {
 		r.core.OnRenewalNotSent("w")
+		r.core.OnStart(start, Delivery{Result: NoConnection, Response: NoConnection}, now)
+		must.Eq(t, waiting, r.core.task(start.Task).phase)
+		r.core.Plan(now)
+		must.SliceEmpty(t, r.core.TakeOrders(), must.Sprint("there is nothing to stop, and a start that follows at once fails too"))
+		now += fullWorkerPause
+		r.core.Plan(now)
+		r.core.OnStored(r.core.TakeCommit(), now)
+		orders := r.core.TakeOrders()
+		must.SliceLen(t, 1, orders, must.Sprint("the worker gets starts again"))
+		start = orders[0]
 	}
-	r.send(context.Background(), start)
-	must.Eq(t, waiting, r.core.task(start.Task).phase)
-	must.SliceEmpty(t, r.core.TakeOrders(), must.Sprint("there is nothing to stop"))
-	w := r.core.workers["w"]
-	must.True(t, w.health.trusted(r.clock.SinceBoot()))
-	must.False(t, w.unresponsive)
-	must.True(t, w.renewalDue)
-	r.Do(func(c *Core, now time.Duration) {
-		c.Plan(now)
-		must.SliceEmpty(t, c.TakeOrders(), must.Sprint("a start that follows at once fails too"))
-		c.Plan(now + fullWorkerPause)
-		c.OnStored(c.TakeCommit(), now+fullWorkerPause)
-	})
-	must.SliceLen(t, 1, r.core.TakeOrders())
+	must.False(t, r.core.workers["w"].unresponsive)
+	must.True(t, r.core.workers["w"].renewalDue)
 
 	r, start, _ = orderedStart(t, Unknown, NoConnection)
 	r.send(context.Background(), start)
