Count crashes of different sound workers against a task only

Cause: two crashes within 250 ms of a task's start end its job, and crashes of one and the same worker, which flapped before the task started there, counted each time. The rule also ended steps that have no limit of attempts.

Change: of each worker one crash counts for a task, and none of a worker that has restarted within a minute without a task that explains it. The workers are stored with the runs. Suspected tasks start elsewhere as long as at most half of the workers are excluded by that. A long-running step is never ended by the rule; its next start is delayed.

The starts of the entry BUDGET that get no response still aren't counted.

--- a/internal/dispatch/crashes.go
+++ b/internal/dispatch/crashes.go
@@ -25,13 +25,21 @@
 // suspected reports whether runs of the group were starting on a worker when it crashed, and none has lasted since.
 func (g *taskGroup) suspected() bool { return g.suspectedRun > 0 }
 
-// addCrash records that a worker stopped responding while a run of the task was starting there.
-func (t *task) addCrash(run int, onlyCause bool) {
+// taskCrash is a crash of a worker of which the start of a run of a task may have been the only cause.
+type taskCrash struct {
+	run    int
+	worker string // empty if it isn't known
+}
+
+// addCrash records that a worker stopped responding while a run of the task was starting there. Of a worker only the first crash is recorded: another one
+// says as much about the worker as about the task.
+func (t *task) addCrash(run int, worker string, onlyCause bool) {
 	if !t.group.suspected() {
 		t.group.suspectedRun = run
 	}
-	if onlyCause && !slices.Contains(t.crashedRuns, run) {
-		t.crashedRuns = append(slices.Clip(t.crashedRuns), run)
+	known := slices.ContainsFunc(t.crashes, func(c taskCrash) bool { return c.run == run || c.worker != "" && c.worker == worker })
+	if onlyCause && !known && len(t.crashes) < maxKeptFailures {
+		t.crashes = append(slices.Clip(t.crashes), taskCrash{run, worker})
 	}
 }
 
@@ -45,14 +53,14 @@
 
 // withdrawCrash removes a run from those that may have been the only cause of a crash. The suspicion remains.
 func (t *task) withdrawCrash(run int) {
-	t.crashedRuns = slices.DeleteFunc(slices.Clone(t.crashedRuns), func(n int) bool { return n == run })
+	t.crashes = slices.DeleteFunc(slices.Clone(t.crashes), func(c taskCrash) bool { return c.run == run })
 }
 
-// crashes returns the largest number of crashes that a task of the group may have caused.
+// crashes returns the largest number of workers that a task of the group may have crashed.
 func (g *taskGroup) crashes() int {
 	n := 0
 	for _, t := range g.tasks {
-		n = max(n, len(t.crashedRuns))
+		n = max(n, len(t.crashes))
 	}
 	return n
 }
@@ -113,7 +121,7 @@
 	w.crashSuspects = suspectsAt(w, now)
 	cause := onlyCause(w.crashSuspects)
 	for _, s := range w.crashSuspects {
-		s.task.addCrash(s.run, s.task.group == cause)
+		s.task.addCrash(s.run, w.ID, s.task.group == cause && !w.flaps.recent(now))
 		c.putTasks(s.task.group)
 	}
 }
@@ -176,7 +184,10 @@
 			s.task.withdrawCrash(s.run)
 		}
 		c.log.WithFields(logrus.Fields{"epoch": c.epoch, "job": g.job.ID, "task": s.task.name, "run": s.run, "worker": w.ID,
-			"crashes": len(s.task.crashedRuns)}).Warn("task is suspected to crash workers")
+			"crashes": len(s.task.crashes), "worker_flaps": w.flaps.count}).Warn("task is suspected to crash workers")
+		if g.spec().LongRunning {
+			g.restarts.recordFailure(now, crashWindow)
+		}
 		c.putTasks(g)
 		c.failExhausted(g, g.crashes(), now)
 	}
@@ -188,7 +199,7 @@
 		c.logTask(t).Info("task is no longer suspected to crash workers")
 		g.suspectedRun = 0
 		for _, m := range g.tasks {
-			m.crashedRuns = nil
+			m.crashes = nil
 		}
 		c.putTasks(g)
 	}
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -342,6 +342,7 @@
 	w.contacted, w.leaseEnd, w.lastClock = false, 0, 0
 	w.leasesExpireAt = now + c.longestLease()
 	w.health = health{}
+	c.recordFlap(w, now)
 	for _, k := range sortedKeys(w.allocs) {
 		a := w.allocs[k]
 		switch {
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -177,11 +177,14 @@
 
 // avoidedWorkers returns the workers on which the group failed; nil if these are more than half of the workers.
 func (c *Core) avoidedWorkers(in *planInput, g *taskGroup) map[int]bool {
-	if len(g.avoidedWorkers) == 0 {
+	if len(g.avoidedWorkers) == 0 && !g.suspected() {
 		return nil
 	}
 	forgetLeftWorkers(c, g.avoidedWorkers)
 	out := map[int]bool{}
+	if g.suspected() {
+		c.addUnprovenWorkers(in, g, out)
+	}
 	for id := range g.avoidedWorkers {
 		if i, ok := in.workerIndex[id]; ok {
 			out[i] = true
--- a/internal/dispatch/restore.go
+++ b/internal/dispatch/restore.go
@@ -102,7 +102,14 @@
 	if len(v.Failed) > len(g.failedRuns) {
 		g.failedRuns = v.Failed
 	}
-	g.suspectedRun, t.crashedRuns = max(g.suspectedRun, v.Suspected), v.Crashed
+	g.suspectedRun, t.crashes = max(g.suspectedRun, v.Suspected), nil
+	for i, run := range v.Crashed {
+		crash := taskCrash{run: run}
+		if i < len(v.CrashedWorkers) {
+			crash.worker = v.CrashedWorkers[i]
+		}
+		t.crashes = append(t.crashes, crash)
+	}
 	switch {
 	case v.Done:
 		c.setPhase(t, done)
--- a/internal/dispatch/rows.go
+++ b/internal/dispatch/rows.go
@@ -291,6 +291,8 @@
 	Failed      []int  `json:"f,omitempty"` // runs that failed
 	Suspected   int    `json:"s,omitempty"` // run from which it is suspected to crash workers
 	Crashed     []int  `json:"k,omitempty"` // runs that may have been the only cause of a crash
+	// CrashedWorkers are the workers of the runs in Crashed; absent in the rows of earlier versions.
+	CrashedWorkers []string `json:"kw,omitempty"`
 }
 
 // encode returns the current contents of a row; false if its job is no longer tracked.
@@ -321,7 +323,10 @@
 				continue
 			}
 			v := taskValue{Index: t.id.Index, Done: t.phase == done, Run: g.run, Checkpoint: t.checkpoint, Failed: g.failedRuns,
-				Suspected: g.suspectedRun, Crashed: t.crashedRuns}
+				Suspected: g.suspectedRun}
+			for _, crash := range t.crashes {
+				v.Crashed, v.CrashedWorkers = append(v.Crashed, crash.run), append(v.CrashedWorkers, crash.worker)
+			}
 			if t.phase == assigned || t.phase.mayBeRunning() {
 				v.Active, v.Worker, v.Incarnation = true, t.worker, t.incarnation
 			}
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -125,10 +125,9 @@
 // startedAt returns when the current or last run of the group began.
 func (g *taskGroup) startedAt() time.Duration { return g.tasks[0].startedAt }
 
-// failExhausted ends the job of a group as failed if the group has no attempt left or has certainly crashed too many workers.
+// failExhausted ends the job of a group as failed if the group has no attempt left or has crashed too many workers. A long-running step has no limit.
 func (c *Core) failExhausted(g *taskGroup, crashes int, now time.Duration) {
-	noAttemptLeft := len(g.failedRuns) >= g.job.Queue.Attempts && !g.spec().LongRunning
-	if g.finished || g.job.ending() || !noAttemptLeft && crashes < maxCrashes {
+	if g.finished || g.job.ending() || g.spec().LongRunning || len(g.failedRuns) < g.job.Queue.Attempts && crashes < maxCrashes {
 		return
 	}
 	c.logTask(g.tasks[0]).WithFields(logrus.Fields{"attempts": len(g.failedRuns), "crashes": crashes}).Warn("no attempt is left")
