Keep a machine closed while a maintenance order for it is outstanding

Cause: the closed workers were computed from the list of machines, so that none was closed with a list older than 2 s, or before a new leader had read one; and an order was repeated without the checks of the first one.

Change: the worker of an outstanding order stays closed until the outcome is known, and is stored with the wave for the next leader. An order is repeated only once the worker has no runs; until then they are stopped as before the first order.

--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -95,6 +95,7 @@
 type waveValue struct {
 	StartedMS int64    `json:"since"`
 	Ordered   []string `json:"ordered,omitempty"`
+	Workers   []string `json:"workers,omitempty"` // of the machines in Ordered; absent in the rows of earlier versions
 	Finished  []string `json:"over,omitempty"`
 	Completed bool     `json:"done,omitempty"`
 }
@@ -133,9 +134,12 @@
 	if v.StartedMS > 0 && v.StartedMS <= wallMS {
 		w.startedMS, w.startedAt = v.StartedMS, now-time.Duration(wallMS-v.StartedMS)*time.Millisecond
 	}
-	for _, m := range v.Ordered {
+	for i, m := range v.Ordered {
 		w.phases[m] = machineOrdered
 		w.orderedAt[m] = now + machineTakeoverWait - maintenanceRetryInterval
+		if i < len(v.Workers) {
+			w.orderedWorkers[m] = workerRef{id: v.Workers[i]}
+		}
 	}
 	for _, m := range v.Finished {
 		w.phases[m] = machineFinished
@@ -151,7 +155,7 @@
 	for _, m := range w.Machines {
 		switch w.phases[m] {
 		case machineStoring, machineOrdered, machineDown:
-			v.Ordered = append(v.Ordered, m)
+			v.Ordered, v.Workers = append(v.Ordered, m), append(v.Workers, w.orderedWorkers[m].id)
 		case machineFinished:
 			v.Finished = append(v.Finished, m)
 		}
@@ -225,13 +229,23 @@
 func (c *Core) tickWaves(now time.Duration) {
 	c.closedForMaintenance = map[string]bool{}
 	for _, w := range c.incompleteWaves() {
+		c.closeOrderedWorkers(w)
 		if now-c.machinesAt > machinesMaxAge || len(c.machines) == 0 {
-			return // without a recent list it is not known which machines are up
+			continue // without a recent list it is not known which machines are up
 		}
 		c.tickWave(w, now)
 	}
 }
 
+// closeOrderedWorkers closes the workers of the machines whose maintenance may begin at any time, however old the list of machines is.
+func (c *Core) closeOrderedWorkers(w *wave) {
+	for _, m := range w.Machines {
+		if p := w.phases[m]; p == machineStoring || p == machineOrdered {
+			c.closedForMaintenance[w.orderedWorkers[m].id] = true
+		}
+	}
+}
+
 func (c *Core) tickWave(w *wave, now time.Duration) {
 	busy, left := 0, 0
 	for _, m := range w.Machines {
@@ -280,7 +294,7 @@
 			c.withdrawMaintenance(w, id) // it is being moved or is down, also after the time limit of the last order
 		}
 	case p == machineOrdered && !w.confirmed[id]:
-		if since >= maintenanceRetryInterval {
+		if since >= maintenanceRetryInterval && c.stopRunsOn(w, c.workers[m.Worker], w.left(), now) {
 			w.repeated[id] = true
 			c.orderMaintenance(w, id, now)
 		}
@@ -343,6 +357,29 @@
 	}
 	w.phases[id] = machineDraining
 	c.closedForMaintenance[machineWorker.ID] = true
+	if c.stopRunsOn(w, machineWorker, left, now) {
+		c.storeMaintenance(w, id)
+	}
+	return true
+}
+
+// left returns the number of machines whose maintenance has not been ordered.
+func (w *wave) left() int {
+	n := 0
+	for _, m := range w.Machines {
+		if p := w.phases[m]; p == machineWaiting || p == machineDraining {
+			n++
+		}
+	}
+	return n
+}
+
+// stopRunsOn stops the runs on a worker whose machine is to be maintained, as far as that is allowed and due, and reports whether none is left. left is
+// the number of machines of the wave whose maintenance has not been ordered.
+func (c *Core) stopRunsOn(w *wave, machineWorker *worker, left int, now time.Duration) bool {
+	if machineWorker == nil {
+		return true
+	}
 	// The remaining machines need their time as well.
 	rounds := (left + w.MaxInMaintenance - 1) / w.MaxInMaintenance
 	due := now+time.Duration(rounds)*(maintenanceEstimate+c.bounds.StopMax) > w.startedAt+w.TargetDuration
@@ -358,10 +395,7 @@
 			}
 		}
 	}
-	if len(machineWorker.allocs) == 0 {
-		c.storeMaintenance(w, id)
-	}
-	return true
+	return len(machineWorker.allocs) == 0
 }
 
 // mayDrain reports whether every long-running step with a task on the worker can do without that task now.
