--- a/internal/descriptors/descriptors.go
+++ b/internal/descriptors/descriptors.go
@@ -17,9 +17,9 @@
 	logInterval = 5 * time.Second
 	// reservedForFiles is the number of descriptors that connections leave to files and to the runtime.
 	reservedForFiles = 200
-	// headroomShare is the fraction of the descriptors for connections, as its divisor, that a bounded kind leaves free, since other connections may be
-	// accepted before it is bounded anew. minShare is likewise the fraction that it may always use.
-	headroomShare, minShare = 8, 8
+	// headroomDivisor gives the headroom of a bounded kind, an eighth of the descriptors for connections: others may be accepted before the bound is
+	// computed anew. minRoomDivisor gives the part that the kind may use even if the others take all of the rest.
+	headroomDivisor, minRoomDivisor = 8, 8
 	// descriptorDir lists the open descriptors of the process.
 	descriptorDir = "/proc/self/fd"
 )
@@ -84,7 +84,7 @@
 			others += n.Active + n.Idle
 		}
 	}
-	return max(1, connections/minShare, connections-connections/headroomShare-others)
+	return max(1, connections/minRoomDivisor, connections-connections/headroomDivisor-others)
 }
 
 // Describe implements prometheus.Collector.
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -33,7 +33,7 @@
 	worker      string // of the current or last run
 	incarnation int64
 	checkpoint  string // newest reported checkpoint; empty means none
-	crashes     []taskCrash
+	crashes     []taskCrash // of workers, as evidence against the task
 
 	percent            int
 	percentChangedAt   time.Duration // when percent last changed
@@ -216,7 +216,7 @@
 	unresponsive      bool           // its last renewal got no response
 	failedAt          time.Duration  // when the first of its last renewals without a response failed
 	crashSuspects     []crashSuspect // of runs that were starting at failedAt
-	flaps             flapRecord
+	flaps             flapRecord    // restarts that no task explains
 	failedIncarnation int64         // incarnation at failedAt
 	takenDown         bool          // its machine was taken down: no run is left on it, and this incarnation doesn't return
 	endedProcess      process       // the newest process that is known to have ended, because another one responded at its address
