--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -32,7 +32,7 @@
 
 	worker      string // of the current or last run
 	incarnation int64
-	checkpoint  string // newest reported checkpoint; empty means none
+	checkpoint  string      // newest reported checkpoint; empty means none
 	crashes     []taskCrash // of workers, as evidence against the task
 
 	percent            int
@@ -216,14 +216,14 @@
 	unresponsive      bool           // its last renewal got no response
 	failedAt          time.Duration  // when the first of its last renewals without a response failed
 	crashSuspects     []crashSuspect // of runs that were starting at failedAt
-	flaps             flapRecord    // restarts that no task explains
-	failedIncarnation int64         // incarnation at failedAt
-	takenDown         bool          // its machine was taken down: no run is left on it, and this incarnation doesn't return
-	endedProcess      process       // the newest process that is known to have ended, because another one responded at its address
-	lastClock         time.Duration // the worker's clock in its newest report
-	lastContact       time.Duration // when that report was received
-	leaseEnd          time.Duration // on the worker's clock; no run outlasts it
-	leasesExpireAt    time.Duration // on the leader's clock, for a worker that never responded under the current epoch
+	flaps             flapRecord     // restarts that no task explains
+	failedIncarnation int64          // incarnation at failedAt
+	takenDown         bool           // its machine was taken down: no run is left on it, and this incarnation doesn't return
+	endedProcess      process        // the newest process that is known to have ended, because another one responded at its address
+	lastClock         time.Duration  // the worker's clock in its newest report
+	lastContact       time.Duration  // when that report was received
+	leaseEnd          time.Duration  // on the worker's clock; no run outlasts it
+	leasesExpireAt    time.Duration  // on the leader's clock, for a worker that never responded under the current epoch
 
 	appliedEnd uint64 // number of the newest end that was applied
 	ackedEnd   uint64 // number of the newest end that may be acknowledged: the effects of all ends up to it are stored
