--- a/internal/httpcall/idle_test.go
+++ b/internal/httpcall/idle_test.go
@@ -136,11 +136,11 @@
 func TestConnectionsStayWithinTheLimitUnderRandomCalls(t *testing.T) {
 	var servers []*httptest.Server
 	for i := range 6 {
-		servers = append(servers, httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			switch {
-			case i == 0:
+		servers = append(servers, httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			switch i {
+			case 0:
 				panic(http.ErrAbortHandler)
-			case i == 1:
+			case 1:
 				time.Sleep(20 * time.Millisecond)
 			}
 		})))
