Place requests by the speed of workers and their objectives

Cause: the planner takes all workers for equally fast. On a deployment where a third of the workers take 1.7 times as long, urgent gangs with an objective of 1.5 times their work run on slow workers while patient work has the fast ones. Change: workers have a slowness, requests a limit up to which they meet their objective. Requests that meet it everywhere take the slowest workers first, others the fastest; an urgent request is tried on workers within its limit first, also by preempting, and waits for one while it can still be in time. Where workers are equally fast, nothing changes. The slowness of workers is not set yet, so no deployment is served differently.

--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -138,7 +138,8 @@
 	quietWorkers   map[int]bool        // see findQuietWorkers; nil until needed
 	emptyWorkers   map[int]bool
 	waitLogs       []waitLog
-	freePercent    int // free share of the capacity before the decision
+	freePercent    int     // free share of the capacity before the decision
+	fastest        float64 // slowness of the fastest usable worker
 	decision       placement.Decision
 }
 
@@ -147,6 +148,7 @@
 		stoppable: map[*taskGroup]bool{}, admitted: map[int]bool{}}
 	c.addWorkers(in, now)
 	in.admitSuspected(ready, now)
+	in.fastest = fastestOf(in.Workers)
 	c.addRuns(in, guaranteed, now)
 	c.addRequests(in, ready, guaranteed, now)
 	usage := urgentUsage(in.workers)
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -143,6 +143,7 @@
 	r.MaySpanRacks = r.MayPreempt && r.WithinGuarantee && waited > spanRacksAfter
 	r.SpreadCost = c.spreadCost(g) * float64(len(groups))
 	r.PreemptionBudget = c.preemptionBudget(g, guaranteed[g.job], waited)
+	c.limitSlowness(&r, g, in.fastest, now)
 	r.BestEffort = spec.Checkpoints && g.job.Queue.Priority > 1
 	r.Interrupted, r.JobIdle = g.run > 0, g.job.idle()
 	r.TasksPerWorker = c.tasksPerWorker(in, g)
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -37,7 +37,7 @@
 	if rack, ok := p.bestRack(r, count, kind); ok {
 		return p.assign(r, rack, count, kind)
 	}
-	if p.mayLeaveRack(r) || !p.fitsEmptyRack(r) {
+	if p.mayUseAllRacks(r) {
 		return p.assign(r, p.allWorkers, count, kind)
 	}
 	return nil
@@ -54,7 +54,15 @@
 }
 
 // mayLeaveRack reports whether the request may run outside the single rack or the data's rack that its step prefers, where it runs slower.
-func (p *planner) mayLeaveRack(r *Request) bool { return r.MaySpanRacks || p.preferencesExpired(r) }
+func (p *planner) mayLeaveRack(r *Request) bool {
+	return !r.fastOnly && (r.MaySpanRacks || p.preferencesExpired(r))
+}
+
+// mayUseAllRacks reports whether a request that prefers a single rack may run on several ones. While it is tried on fast workers, it doesn't: running on
+// several racks costs more time than a slow worker does.
+func (p *planner) mayUseAllRacks(r *Request) bool {
+	return p.mayLeaveRack(r) || !r.fastOnly && !p.fitsEmptyRack(r)
+}
 
 // restrictedToDataRack reports whether the request may run only on the rack of its data. A gang that would not fit even if that rack ran nothing but its
 // long-running tasks may run elsewhere.
@@ -62,7 +70,7 @@
 	if r.Step.DataRack == "" || p.mayLeaveRack(r) {
 		return false
 	}
-	return p.fitsOn(r, p.dataRack(r), r.minTasks(), eventuallyFreeCapacity)
+	return r.fastOnly || p.fitsOn(r, p.dataRack(r), r.minTasks(), eventuallyFreeCapacity)
 }
 
 // needsAvoidedWorkers reports whether the request can't start on the other workers, even if these ran nothing but their long-running tasks, or should
@@ -85,10 +93,12 @@
 	return 1
 }
 
-// bestRack returns the rack on which all tasks fit and whose suitable workers have the least capacity. Racks without suspected workers come first.
+// bestRack returns the rack on which all tasks fit and whose suitable workers have the least capacity. Racks without suspected workers come first, and for
+// requests that need fast workers those where the slowest of them is fastest.
 func (p *planner) bestRack(r *Request, count int, kind capacityKind) ([]int, bool) {
 	var best []int
-	bestLeftover := 0.0
+	var bestRank rackRank
+	needsFast := p.speedPreference(r) == fastestFirst
 	slots := p.slots(r, kind)
 	for rack, workers := range p.racks {
 		if slots.byRack[rack] < count || r.restricted() && !p.fitsOn(r, workers, count, kind) {
@@ -101,14 +111,28 @@
 				penalty += p.workers[w].HealthPenalty
 			}
 		}
-		leftover += penalty * suspectedRackPenalty
-		if best == nil || leftover < bestLeftover {
-			best, bestLeftover = workers, leftover
+		rank := rackRank{leftover: leftover + penalty*suspectedRackPenalty}
+		if needsFast {
+			rank.suspicion, rank.slownessClass = penalty, p.slowestNeeded(r, workers, count, kind)
+		}
+		if best == nil || rank.compare(bestRank) < 0 {
+			best, bestRank = workers, rank
 		}
 	}
 	return best, best != nil
 }
 
+// rackRank orders racks; the lowest comes first.
+type rackRank struct {
+	suspicion     float64
+	slownessClass int
+	leftover      float64
+}
+
+func (a rackRank) compare(b rackRank) int {
+	return cmp.Or(cmp.Compare(a.suspicion, b.suspicion), cmp.Compare(a.slownessClass, b.slownessClass), cmp.Compare(a.leftover, b.leftover))
+}
+
 // fitsEmptyRack reports whether the whole request would fit on some rack if that ran nothing but its long-running tasks.
 func (p *planner) fitsEmptyRack(r *Request) bool {
 	for rack := range p.racks {
@@ -123,8 +147,8 @@
 	return label == "" || slices.Contains(w.Labels, label)
 }
 
-// assign places up to count tasks, best fit first: the workers with the least capacity left over are filled first, so that whole workers stay free.
-// Workers whose health is suspected come last.
+// assign places up to count tasks. Workers whose health is suspected come last, then the speed that the request prefers decides, then best fit: the workers
+// with the least capacity left over are filled first, so that whole workers stay free.
 func (p *planner) assign(r *Request, workers []int, count int, kind capacityKind) []int {
 	type candidate struct {
 		worker, slots int
@@ -137,9 +161,10 @@
 			candidates = append(candidates, candidate{w, n, leftover})
 		}
 	}
+	preference := p.speedPreference(r)
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(p.workers[a.worker].HealthPenalty, p.workers[b.worker].HealthPenalty),
-			cmp.Compare(a.leftover, b.leftover), cmp.Compare(a.worker, b.worker))
+			p.compareSpeed(preference, a.worker, b.worker), cmp.Compare(a.leftover, b.leftover), cmp.Compare(a.worker, b.worker))
 	})
 	out := make([]int, 0, count)
 	for _, c := range candidates {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -43,6 +43,7 @@
 	Usable           bool            // may get new work
 	Suspected        bool            // not usable only because its health is suspected; it still counts as capacity
 	HealthPenalty    float64         // suspicion of the worker's health; 0 means none
+	Slowness         float64         // factor by which run times on it differ from those on the mean worker; 0 counts as 1
 	LatencySensitive bool            // runs latency-sensitive tasks, which have a bound on their response times
 	BestEffort       bool            // runs best-effort tasks, which use the processor time that others leave unused
 	BestEffortTasks  int             // their number
@@ -82,12 +83,15 @@
 	SpreadCost       float64      // work that running outside the preferred rack adds, core-seconds
 	MayPreempt       bool         // may stop less urgent runs
 	PreemptionBudget float64      // most work that may be lost by preempting runs for it, core-seconds
+	SlownessLimit    float64      // largest slowness of its workers with which it meets its objective; 0 means that speed doesn't matter
+	AwaitsFastWorker bool         // isn't placed on workers above SlownessLimit: it can meet its objective by waiting for others
 	BestEffort       bool         // loses little when it is stopped, so it may use the headroom
 	Interrupted      bool         // has run before
 	JobIdle          bool         // no task of its job runs or is about to start
 	WaitTime         time.Duration
 
-	index *slotIndex // of the step's shape; set by the planner
+	index    *slotIndex // of the step's shape; set by the planner
+	fastOnly bool       // only workers within SlownessLimit are considered now
 }
 
 // Placement assigns tasks of a request to workers, one entry a task.
@@ -140,12 +144,16 @@
 	freeBeyondHeadroom float64       // free capacity beyond the headroom, core equivalents
 	ample              bool          // capacity is ample
 	ampleFor           time.Duration // how long it has been
+	slownessClass      []int         // of each worker
+	slowest            float64       // slowness of the slowest usable worker
+	uneven             bool          // usable workers differ in speed
 	decision           Decision
 }
 
 func newPlanner(in Input) *planner {
 	p := &planner{workers: in.Workers, runs: in.Runs, requests: in.Requests, preempted: make([]bool, len(in.Runs))}
 	p.indexWorkers()
+	p.indexSlowness()
 	p.ample, p.ampleFor = HasAmpleCapacity(in.Workers), in.AmpleFor
 	for i := range p.workers {
 		if w := &p.workers[i]; w.Usable {
@@ -190,10 +198,12 @@
 	if r.MaySpanRacks && p.isCheaperOnPreferredRack(r) {
 		r.MaySpanRacks = false
 	}
+	if p.limitedToFastWorkers(r) && (p.placeOnFastWorkers(i) || r.AwaitsFastWorker) {
+		return
+	}
 	placed := p.fit(r, p.startLimit(r), freeCapacity)
 	if len(placed) > 0 {
-		p.allocate(r, placed)
-		p.decision.Placements = append(p.decision.Placements, Placement{i, placed})
+		p.place(i, placed)
 	}
 	rest := r.Count - len(placed)
 	if rest == 0 {
@@ -206,6 +216,12 @@
 	p.reserve(i)
 }
 
+// place starts tasks of a request on workers, one entry a task.
+func (p *planner) place(request int, workers []int) {
+	p.allocate(&p.requests[request], workers)
+	p.decision.Placements = append(p.decision.Placements, Placement{request, workers})
+}
+
 // startLimit returns how many tasks of the request may start now without using the headroom. Long-running tasks may use it, since they are expected
 // to run at all times, and other requests may use it after headroomWaitLimit.
 func (p *planner) startLimit(r *Request) int {
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -49,7 +49,7 @@
 		return [][]int{p.allWorkers}
 	}
 	out := slices.Clone(p.racks)
-	if p.mayLeaveRack(r) || !p.fitsEmptyRack(r) {
+	if p.mayUseAllRacks(r) {
 		out = append(out, p.allWorkers)
 	}
 	return out
--- a/internal/placement/slots.go
+++ b/internal/placement/slots.go
@@ -112,6 +112,9 @@
 
 // fitCount returns how many tasks of the request fit on a worker, at most limit. It is 0 on a worker that must not run them.
 func (p *planner) fitCount(r *Request, w, limit int, kind capacityKind) int {
+	if r.fastOnly && p.workers[w].slowness() > r.SlownessLimit {
+		return 0
+	}
 	return r.limitFit(w, min(limit, p.slots(r, kind).byWorker[w]))
 }
 
@@ -128,7 +131,7 @@
 
 // restricted reports whether the slot counts of its shape are only an upper bound for the request.
 func (r *Request) restricted() bool {
-	return len(r.AvoidedWorkers) > 0 || r.AllowedWorkers != nil || r.Step.MaxPerWorker > 0
+	return len(r.AvoidedWorkers) > 0 || r.AllowedWorkers != nil || r.Step.MaxPerWorker > 0 || r.fastOnly
 }
 
 // fitsOnRack reports whether count tasks of the request fit on a rack.
--- /dev/null
+++ b/internal/placement/slowness.go
@@ -0,0 +1,112 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+const (
+	// slownessStep is the ratio of slowness within which workers count as equally fast, so that best fit decides between them.
+	slownessStep = 1.25
+	// tightMargin is how many times as slow as the slowest worker a request has to tolerate to be placed on slow workers first. It covers the errors of
+	// estimated run times.
+	tightMargin = 1.25
+)
+
+// slowness is the factor by which run times on the worker differ from those on the mean worker.
+func (w *Worker) slowness() float64 {
+	if w.Slowness <= 0 {
+		return 1
+	}
+	return w.Slowness
+}
+
+// slownessClass is the number of slowness steps that the worker is above or below the mean worker.
+func (w *Worker) slownessClass() int {
+	return int(math.Round(math.Log(w.slowness()) / math.Log(slownessStep)))
+}
+
+// indexSlowness classifies the workers by their slowness.
+func (p *planner) indexSlowness() {
+	lowest, highest := math.Inf(1), 0.0
+	p.slownessClass = make([]int, len(p.workers))
+	for i := range p.workers {
+		if !p.workers[i].Usable {
+			continue
+		}
+		p.slownessClass[i] = p.workers[i].slownessClass()
+		lowest, highest = min(lowest, p.workers[i].slowness()), max(highest, p.workers[i].slowness())
+	}
+	p.slowest, p.uneven = highest, highest > lowest*slownessStep
+}
+
+// speedPreference is which workers a request gets first.
+type speedPreference int8
+
+const (
+	anySpeed     speedPreference = 0
+	fastestFirst speedPreference = 1
+	slowestFirst speedPreference = -1
+)
+
+// speedPreference returns slowestFirst for a request that meets its objective on every worker, so that fast workers stay free for requests that need
+// them, and fastestFirst for one that doesn't.
+func (p *planner) speedPreference(r *Request) speedPreference {
+	switch {
+	case !p.uneven || r.SlownessLimit <= 0:
+		return anySpeed
+	case r.SlownessLimit < p.slowest*tightMargin:
+		return fastestFirst
+	}
+	return slowestFirst
+}
+
+// compareSpeed orders workers by the preference of a request.
+func (p *planner) compareSpeed(preference speedPreference, a, b int) int {
+	return int(preference) * cmp.Compare(p.slownessClass[a], p.slownessClass[b])
+}
+
+// slowestNeeded returns the slowness class of the slowest worker that count tasks of the request get on a rack that has sufficient capacity, if the fastest
+// workers are used.
+func (p *planner) slowestNeeded(r *Request, rack []int, count int, kind capacityKind) int {
+	order := slices.Clone(rack)
+	slices.SortFunc(order, func(a, b int) int { return cmp.Compare(p.slownessClass[a], p.slownessClass[b]) })
+	for _, w := range order {
+		if count -= p.fitCount(r, w, count, kind); count <= 0 {
+			return p.slownessClass[w]
+		}
+	}
+	return math.MaxInt32
+}
+
+// limitedToFastWorkers reports whether the request is tried first on those workers only on which it meets its objective. Single tasks of a larger request
+// don't need that, since each is placed by itself.
+func (p *planner) limitedToFastWorkers(r *Request) bool {
+	return r.MayPreempt && (r.Gang || r.Count == 1) && p.speedPreference(r) == fastestFirst
+}
+
+// placeOnFastWorkers places a request on workers that meet its slowness limit: on free capacity, on capacity that is about to become free, or by
+// preempting runs within its budget. It returns false and changes nothing if that isn't possible.
+func (p *planner) placeOnFastWorkers(i int) bool {
+	r := &p.requests[i]
+	r.fastOnly = true
+	defer func() { r.fastOnly = false }()
+	if placed := p.fit(r, r.Count, freeCapacity); len(placed) == r.Count {
+		p.place(i, placed)
+		return true
+	}
+	if claimed := p.fit(r, r.Count, futureFreeCapacity); len(claimed) == r.Count {
+		p.allocate(r, claimed)
+		return true
+	}
+	workers, victims, cost := p.selectVictims(r, r.Count)
+	if len(workers) < r.Count || cost > r.PreemptionBudget {
+		return false
+	}
+	for _, v := range victims {
+		p.preempt(v, i)
+	}
+	p.allocate(r, workers)
+	return true
+}
