Share the size of advice requests between packages

Cause: a check of the operator's configuration needs the number of workers in an advice request and the margin of tickets, which only internal/dispatch knew. Change: both move to internal/batch, next to the advice policy. No change of behaviour.

--- a/internal/batch/policy.go
+++ b/internal/batch/policy.go
@@ -26,6 +26,24 @@
 	TicketTTL  time.Duration `json:"valid"`  // time for which a ticket is valid
 }
 
+const (
+	// MaxAdviceWorkers is the largest number of workers in an advice request, which the adviser accepts.
+	MaxAdviceWorkers = 100
+	// MinAdviceWorkers is the smallest number of workers in an advice request if there are as many. A request with fewer often yields no ticket.
+	MinAdviceWorkers = 12
+	// TicketMargin is the remaining validity below which a ticket is no longer used; it covers the time that a start takes.
+	TicketMargin = 500 * time.Millisecond
+)
+
+// WorkersPerRequest returns the number of workers in a request: the number at which the time for the workers equals the fixed time of a request. With
+// fewer, the fixed time would be spent more often; with more, other steps would wait for workers that aren't needed.
+func (a *AdvicePolicy) WorkersPerRequest() int {
+	if a.PerWorker <= 0 {
+		return MaxAdviceWorkers
+	}
+	return min(max(MinAdviceWorkers, int(a.PerRequest/a.PerWorker)), MaxAdviceWorkers)
+}
+
 // Service is a pool of workers.
 type Service struct {
 	Name             string
--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -11,16 +11,8 @@
 	"samphirewell/internal/batch"
 )
 
-const (
-	// maxAdviceWorkers and minAdviceWorkers bound the number of workers in an advice request. The adviser accepts at most 100, and a request with
-	// fewer than the minimum often yields no ticket.
-	maxAdviceWorkers = 100
-	minAdviceWorkers = 12
-	// adviceRetryPause is the pause after an advice request that got no response.
-	adviceRetryPause = 300 * time.Millisecond
-	// ticketMargin is the remaining validity below which a ticket is no longer used; it covers the time that a start takes.
-	ticketMargin = 500 * time.Millisecond
-)
+// adviceRetryPause is the pause after an advice request that got no response.
+const adviceRetryPause = 300 * time.Millisecond
 
 // AdviceRequest is a request to the adviser: which of the workers may run a step.
 type AdviceRequest struct {
@@ -61,15 +53,6 @@
 
 func (c *Core) needsTicket(j *job) bool { return c.advicePolicyOf(j) != nil }
 
-// workersPerRequest returns the number of workers in a request: the number at which the time for the workers equals the fixed time of a request. With
-// fewer, the fixed time would be spent more often; with more, other steps would wait for workers that aren't needed.
-func workersPerRequest(a *batch.AdvicePolicy) int {
-	if a.PerWorker <= 0 {
-		return maxAdviceWorkers
-	}
-	return min(max(minAdviceWorkers, int(a.PerRequest/a.PerWorker)), maxAdviceWorkers)
-}
-
 // allowedWorkers returns the workers of a plan for which there is a valid ticket; nil if no ticket is needed.
 func (c *Core) allowedWorkers(in *planInput, g *taskGroup, now time.Duration) map[int]bool {
 	if !c.needsTicket(g.job) {
@@ -90,7 +73,7 @@
 
 func (a *stepAdvice) validTicket(w *worker, now time.Duration) (string, bool) {
 	t, ok := a.tickets[w.ID]
-	return t.text, ok && t.incarnation == w.Incarnation && now+ticketMargin < t.expiresAt
+	return t.text, ok && t.incarnation == w.Incarnation && now+batch.TicketMargin < t.expiresAt
 }
 
 // ticketFor returns the valid ticket for a start of the task on the worker, or an empty string.
@@ -201,7 +184,7 @@
 	})
 	id := batch.TaskID{Job: j.ID, Occurrence: occurrence, Step: step}.String()
 	req := AdviceRequest{Step: id[:len(id)-len(".0")], step: s, incarnations: map[string]int64{}}
-	for _, w := range candidates[:min(workersPerRequest(c.advicePolicyOf(j)), len(candidates))] {
+	for _, w := range candidates[:min(c.advicePolicyOf(j).WorkersPerRequest(), len(candidates))] {
 		req.Workers = append(req.Workers, w.ID)
 		req.incarnations[w.ID] = w.Incarnation
 	}
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -38,7 +38,7 @@
 		cost    batch.AdvicePolicy
 		workers int
 	}{{batch.AdvicePolicy{PerRequest: 300 * time.Millisecond, PerWorker: time.Millisecond}, 48}, {batch.AdvicePolicy{PerRequest: 300 * time.Millisecond, PerWorker: 10 * time.Millisecond}, 30},
-		{batch.AdvicePolicy{PerRequest: time.Millisecond, PerWorker: 10 * time.Millisecond}, minAdviceWorkers}, {batch.AdvicePolicy{PerRequest: time.Second}, 48}} {
+		{batch.AdvicePolicy{PerRequest: time.Millisecond, PerWorker: 10 * time.Millisecond}, batch.MinAdviceWorkers}, {batch.AdvicePolicy{PerRequest: time.Second}, 48}} {
 		req, ok := coreWithAdvice(t, 48, c.cost).NextAdviceRequest(0, []string{""})
 		must.True(t, ok)
 		must.Eq(t, c.workers, len(req.Workers), must.Sprintf("%+v", c.cost))
--- a/internal/dispatch/left_workers_test.go
+++ b/internal/dispatch/left_workers_test.go
@@ -32,7 +32,7 @@
 	for g := range 20 {
 		now := time.Duration(g+1) * time.Minute
 		replaceWorkers(c, fmt.Sprint("g", g), fleetSize, now)
-		for range 2 * 3 * fleetSize / minAdviceWorkers {
+		for range 2 * 3 * fleetSize / batch.MinAdviceWorkers {
 			req, ok := c.NextAdviceRequest(now, []string{""})
 			if !ok {
 				break
--- a/internal/dispatch/starvation_test.go
+++ b/internal/dispatch/starvation_test.go
@@ -103,13 +103,13 @@
 
 // Guards against a gang that gets no more advice because the tasks that may not share a worker are counted as fitting on one.
 func TestAdviceIsRequestedUntilTasksThatMayNotShareAWorkerFit(t *testing.T) {
-	const workers = 3 * minAdviceWorkers
+	const workers = 3 * batch.MinAdviceWorkers
 	s := newPool(t, 1, workers)
 	p := testPolicy()
 	p.Version = 2
 	p.Queues[1].Advice = &batch.AdvicePolicy{PerRequest: 10 * time.Millisecond, PerWorker: 10 * time.Millisecond}
 	s.leaders[0].core.SetPolicy(p.Index())
-	j := simpleJob("apart", "normal", 1, minAdviceWorkers, smallTask)
+	j := simpleJob("apart", "normal", 1, batch.MinAdviceWorkers, smallTask)
 	j.Steps[0].Gang, j.Steps[0].MaxPerWorker = true, 1
 	c := &waitCheck{system: s, job: j.ID, allowed: map[string]bool{}}
 	for i, id := range s.fleet.ids() {
