--- a/cmd/samphirectl/main.go
+++ b/cmd/samphirectl/main.go
@@ -6,8 +6,9 @@
 
 	"samphirewell/internal/cli"
 	"samphirewell/internal/tools"
+	"samphirewell/platform"
 )
 
 func main() {
-	os.Exit(cli.RunCtl(cli.OSEnv(), os.Args[1:], tools.Commands()...))
+	os.Exit(cli.RunCtl(cli.OSEnv(), os.Args[1:], append(tools.Commands(), cli.ConfigCommand(platform.DecodeConfigDocument))...))
 }
