Close connections of stand-ins only when nbio has added them

Change: a connection is recorded when it is accepted. CloseConn waits until nbio has added it, which shows by the next call of Accept; a connection that is to be closed before it is accepted isn't given to nbio. Close returns after 10 s at the latest and logs that.

--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -26,6 +26,8 @@
 	startTimeout = 10 * time.Second
 	// acceptDelay bounds the time between the dial of a connection and its acceptance on loopback.
 	acceptDelay = time.Second
+	// stopTimeout bounds the stop of a server. nbio waits without a limit for each connection that it has counted.
+	stopTimeout = 10 * time.Second
 )
 
 // limitLibraryLog makes nbio log only errors; by default it logs each start and stop of the many servers.
@@ -38,7 +40,7 @@
 	addr           string
 	closed         chan struct{} // closed by Close, so that waiting handlers return
 	closeOnce      sync.Once
-	conns          sync.Map // remote address -> net.Conn
+	conns          sync.Map // remote address -> *acceptedConn
 	openConns      atomic.Int64
 	connLimit      int64
 	deniedConns    atomic.Uint64 // connections closed because of the limit
@@ -111,12 +113,21 @@
 	}
 }
 
-// Close stops the server and closes its connections.
+// Close stops the server and closes its connections. It returns after stopTimeout even if the server has not stopped, and logs that.
 func (s *server) Close() {
 	s.closeOnce.Do(func() {
 		close(s.closed)
-		s.listener.stopAccepting()
-		s.engine.Stop()
+		stopped := make(chan struct{})
+		go func() {
+			defer close(stopped)
+			s.listener.stopAccepting()
+			s.engine.Stop()
+		}()
+		select {
+		case <-stopped:
+		case <-time.After(stopTimeout):
+			logging.Error("stand-in at %s did not stop within %v, %d connections are open", s.addr, stopTimeout, s.openConns.Load())
+		}
 	})
 }
 
@@ -135,13 +146,42 @@
 	}
 }
 
+// acceptedConn is a connection that was accepted. In nbio v1.6.8, a connection that is closed before nbio has added it to its poller is counted when it is
+// added and never counted down, so that Stop would wait forever. Such a connection is closed only when it has been added.
+type acceptedConn struct {
+	conn  net.Conn      // of nbio; nil if nbio didn't get it
+	added chan struct{} // closed when nbio has added the connection or will never get it; conn is set before
+}
+
 // CloseConn closes the connection from the remote address. If it is not accepted yet, it is closed when it is accepted within acceptDelay.
 func (s *server) CloseConn(remote string) {
 	s.pendingCloses.Store(remote, time.Now().Add(acceptDelay))
-	if c, ok := s.conns.Load(remote); ok {
+	if value, ok := s.conns.Load(remote); ok {
+		c := value.(*acceptedConn)
+		<-c.added
 		s.pendingCloses.Delete(remote)
-		_ = c.(net.Conn).Close()
+		if c.conn != nil {
+			_ = c.conn.Close()
+		}
+	}
+}
+
+// admit records an accepted connection, or closes it if CloseConn was called for it before. It writes conns before it reads pendingCloses, and CloseConn
+// writes pendingCloses before it reads conns, so that at least one of the two sees the entry of the other and closes the connection.
+func (s *server) admit(c net.Conn) (accepted *acceptedConn, ok bool) {
+	remote := c.RemoteAddr().String()
+	accepted = &acceptedConn{added: make(chan struct{})}
+	s.conns.Store(remote, accepted)
+	until, pending := s.pendingCloses.LoadAndDelete(remote)
+	if !pending || time.Now().After(until.(time.Time)) {
+		return accepted, true
 	}
+	s.conns.Delete(remote)
+	s.openConns.Add(-1)
+	close(accepted.added)
+	_ = c.Close()
+	s.notifyConnClosed(c)
+	return nil, false
 }
 
 // connClosed removes a closed connection.
@@ -154,15 +194,10 @@
 	s.pollerRunningOnce.Do(func() { close(s.pollerRunning) })
 }
 
-// connOpened adds a connection. It writes conns before it reads pendingCloses, and CloseConn writes pendingCloses before it reads conns, so that at
-// least one of the two sees the entry of the other and closes the connection.
+// connOpened is called with a connection that nbio is about to add to its poller, by the goroutine that accepts connections.
 func (s *server) connOpened(c net.Conn) {
-	remote := c.RemoteAddr().String()
 	s.acceptSync.Add(1)
-	s.conns.Store(remote, c)
-	if until, ok := s.pendingCloses.LoadAndDelete(remote); ok && time.Now().Before(until.(time.Time)) {
-		_ = c.Close()
-	}
+	s.listener.lastAccepted.conn = c
 }
 
 // limitListener immediately closes new connections above the limit.
@@ -173,6 +208,7 @@
 	acceptEndedOnce sync.Once
 	engineStops     chan struct{} // closed by Close, which the engine calls when it stops
 	engineStopsOnce sync.Once
+	lastAccepted    *acceptedConn // used only by the goroutine of nbio that accepts connections
 }
 
 // stopAccepting closes the port and waits until nbio has taken over the last connection. In nbio v1.6.8, Stop closes the connections that it finds and
@@ -189,8 +225,12 @@
 }
 
 // Accept returns the next connection that is within the limit. Once the port is closed it returns only when the engine stops, since nbio would call it
-// again at once.
+// again at once. nbio calls it when it has added the connection that it got last.
 func (l *limitListener) Accept() (net.Conn, error) {
+	if l.lastAccepted != nil {
+		close(l.lastAccepted.added)
+		l.lastAccepted = nil
+	}
 	for {
 		c, err := l.Listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -201,6 +241,11 @@
 			return nil, err
 		}
 		if n := l.server.openConns.Add(1); l.server.connLimit == 0 || n <= l.server.connLimit {
+			accepted, ok := l.server.admit(c)
+			if !ok {
+				continue
+			}
+			l.lastAccepted = accepted
 			return c, nil
 		}
 		l.server.openConns.Add(-1)
