Keep starts out of evacuated failure domains

Operators may request that nothing starts in a failure domain any more. The core now takes the set of evacuated domains and the age of the copy of the operator's table. Workers of an evacuated domain get no new work and count as no capacity; a start that is assigned but not ordered is withdrawn; each copy of a start is checked again right before it is sent. Runs that exist end by themselves.

go test -race ./internal/dispatch -run 'Evacuat|Assigned|StaleCopy|NoCopy': passes in 16 s. With each of the protections taken out in turn (staysInService, orderStart, the check of copies, its check of the age, mayStartIn, the end of the pause) at least one of the tests fails.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -15,6 +15,8 @@
 	StopMax  time.Duration // longest time that stopping a run takes
 	// FarFactor is how many times as long a task takes away from the rack that its step prefers; 0 if that is not known.
 	FarFactor float64
+	// Evacuation is the time from the acknowledged request to evacuate a failure domain after which nothing may start there; 0 if evacuations aren't offered.
+	Evacuation time.Duration
 }
 
 const (
@@ -55,12 +57,14 @@
 	tracking             taskTracking
 	rows                 rowQueue
 	orders               []Order
-	pollWakeups          []string       // workers whose polling goroutine has to be woken
-	finalized            []FinalizedJob // ended jobs whose submission may be replaced by a tombstone
-	forgotten            []string       // ids of jobs whose state is no longer kept
-	dirty                bool           // something changed since the last plan
-	startsDisabled       bool           // no more starts, maintenance orders and advice requests
-	workersStale         bool           // the capacities of workers may have changed unnoticed
+	pollWakeups          []string        // workers whose polling goroutine has to be woken
+	finalized            []FinalizedJob  // ended jobs whose submission may be replaced by a tombstone
+	forgotten            []string        // ids of jobs whose state is no longer kept
+	dirty                bool            // something changed since the last plan
+	startsDisabled       bool            // no more starts, maintenance orders and advice requests
+	workersStale         bool            // the capacities of workers may have changed unnoticed
+	operatorStale        bool            // an evacuation may have been requested unnoticed
+	evacuations          map[string]bool // failure domains that are evacuated; replaced as a whole
 	deposed              bool
 	runTimeEstimates     runTimeEstimates
 	urgentDemand         urgentDemand
@@ -123,9 +127,9 @@
 	}
 }
 
-// mayStartIn reports whether what is known of the workers of a service suffices to start tasks there.
+// mayStartIn reports whether what is known of evacuations and of the workers of a service suffices to start tasks there.
 func (c *Core) mayStartIn(service string) bool {
-	return !c.workersStale || c.policy.EnforcesCapacity(service)
+	return !c.operatorStale && (!c.workersStale || c.policy.EnforcesCapacity(service))
 }
 
 // SetBounds sets new limits. Leases that were renewed under a longer limit keep their ends.
--- a/internal/dispatch/counts.go
+++ b/internal/dispatch/counts.go
@@ -55,6 +55,8 @@
 	Leases  int             // workers with runs, whose leases are renewed
 	Used    map[int]float64 // resources that runs hold, by priority, core equivalents
 	Unused  float64         // free capacity of usable workers, core equivalents
+	// EvacuatedRuns is the number of runs that may exist on workers of evacuated failure domains.
+	EvacuatedRuns int
 }
 
 // Overview returns the state of the leader.
@@ -77,6 +79,9 @@
 		if len(w.allocs) > 0 {
 			o.Leases++
 		}
+		if c.evacuated(w) {
+			o.EvacuatedRuns += w.possibleRuns()
+		}
 		for _, a := range w.allocs {
 			if a.task != nil {
 				o.Used[a.task.group.job.Queue.Priority] += a.need.CoreEquivalents()
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -60,10 +60,12 @@
 	jobs              map[string]batch.Job
 	failingJobs       map[string]bool
 	delayedOrders     []delayedOrder
-	responseLossShare float64 // share of responses to orders and renewals that are lost
-	delayShare        float64 // share of copies of orders that are carried out late and get no response
-	endsPerReport     int     // most ends in a report, the oldest ones; 0 means 500
-	ignoresCapacity   bool    // workers start whatever they are told, even beyond their capacity
+	responseLossShare float64         // share of responses to orders and renewals that are lost
+	delayShare        float64         // share of copies of orders that are carried out late and get no response
+	evacuated         map[string]bool // failure domains in which no start may be ordered
+	startsForbidden   bool            // no start may be ordered anywhere
+	endsPerReport     int             // most ends in a report, the oldest ones; 0 means 500
+	ignoresCapacity   bool            // workers start whatever they are told, even beyond their capacity
 	registryDelay     time.Duration
 	stopTime          time.Duration            // how long a run that is being stopped stays
 	crashingTasks     map[string]bool          // tasks that crash each worker that starts them
@@ -126,6 +128,9 @@
 // order carries out one copy of an order and returns the result that the sender receives.
 func (f *fakeFleet) order(o Order) Result {
 	w := f.workers[o.Worker.ID]
+	if w != nil && !o.Stop && (f.startsForbidden || f.evacuated[w.Domain]) {
+		f.addViolation("start of %s on %s, whose failure domain %q is closed", o.Task, w.ID, w.Domain)
+	}
 	if f.otherWorkerAt(o.Worker) {
 		return OtherIncarnation
 	}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -250,9 +250,9 @@
 	return c.staysInService(w) && now >= w.fullUntil && !w.closedForSuspected(now)
 }
 
-// staysInService reports whether a worker responds and isn't about to leave.
+// staysInService reports whether a worker responds, isn't about to leave and isn't evacuated.
 func (c *Core) staysInService(w *worker) bool {
-	return w.registered && w.described() && !w.Draining && !w.takenDown && !w.replaced() && !c.closedForMaintenance[w.ID] && w.contacted && !w.unresponsive
+	return w.registered && w.described() && !w.Draining && !w.takenDown && !w.replaced() && !c.closedForMaintenance[w.ID] && !c.evacuated(w) && w.contacted && !w.unresponsive
 }
 
 // described reports whether the registry entry describes the current incarnation. Another incarnation may have other labels and another capacity.
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -39,7 +39,7 @@
 	}
 	w := c.workers[t.worker]
 	if r != Accepted {
-		c.logTask(t).WithFields(logrus.Fields{"result": r.String(), "response": d.Response.String(), "unanswered_copies": d.UnansweredCopies}).Info("start not confirmed")
+		c.logTask(t).WithFields(logrus.Fields{"result": r.String(), "response": d.Response.String(), "unanswered_copies": d.UnansweredCopies, "evacuated": c.evacuated(w)}).Info("start not confirmed")
 	}
 	switch r {
 	case Accepted:
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -76,6 +76,7 @@
 	metrics          Metrics
 	adviceRequesters func() []string // addresses of other hosts that may send requests to the adviser
 	workersAge       func() time.Duration
+	operatorAge      func() time.Duration // of the copy of the operator's table
 
 	machines MachineProvider // nil if machines can't be maintained
 
@@ -107,7 +108,7 @@
 func NewRunner(core *Core, s *lead.Session, workers WorkerAPI, c Clock, m Metrics, log logrus.FieldLogger) *Runner {
 	r := &Runner{core: core, session: s, workers: workers, clock: c, metrics: m, log: log, wakeup: make(chan struct{}, 1), commitWakeup: make(chan struct{}, 1), stored: make(chan struct{}),
 		pollers: map[string]chan struct{}{}, adviceRequesters: func() []string { return nil },
-		workersAge: func() time.Duration { return 0 }}
+		workersAge: func() time.Duration { return 0 }, operatorAge: func() time.Duration { return 0 }}
 	r.sentAt.Store(int64(c.SinceBoot()))
 	return r
 }
@@ -231,6 +232,7 @@
 		r.leadErr = lead.ErrDeposed
 	}
 	r.core.SetWorkersStale(r.workersAge() > maxWorkersAge)
+	r.core.SetOperatorAge(r.operatorAge())
 	if now-r.lastTick >= tickInterval {
 		r.lastTick = now
 		r.core.Tick(now, r.clock.WallMS())
@@ -284,7 +286,8 @@
 func (r *Runner) send(ctx context.Context, o Order) {
 	sent := r.clock.SinceBoot()
 	if !o.Stop {
-		o.StillAllowed = r.mayAct
+		start := o
+		o.StillAllowed = func() bool { return r.maySendStart(&start) }
 	}
 	d := Deliver(o, func(o Order) Result { return r.workers.Order(ctx, o) })
 	r.metrics.Ordered(o, d.Result, r.clock.SinceBoot()-sent)
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -221,6 +221,9 @@
 		c.closeRun(t, outcomeNotOrdered, now)
 		return
 	}
+	if c.withdrawEvacuated(t, w, now) {
+		return
+	}
 	if !w.holds(t.group.spec().Need) {
 		c.logTask(t).Info("start withdrawn, the worker no longer has the capacity")
 		c.closeRun(t, outcomeNotOrdered, now)
--- a/internal/dispatch/system_test.go
+++ b/internal/dispatch/system_test.go
@@ -62,6 +62,8 @@
 	cancels []string
 	epochs  int
 	outage  bool // nothing can be stored
+	// evacuations is the set of evacuated failure domains that all leaders know, see evacuate.
+	evacuations []string
 	// stalePlans applies each plan one step after it was prepared.
 	stalePlans bool
 }
@@ -92,6 +94,7 @@
 	for _, id := range s.cancels {
 		core.Cancel(id, s.fleet.now)
 	}
+	core.SetEvacuations(s.evacuations, s.fleet.now)
 	s.leaders = append(s.leaders, &leader{core: core, session: session, sentAt: s.fleet.now, nextRenewalAt: map[string]time.Duration{}})
 }
 
--- a/internal/dispatch/waitlog.go
+++ b/internal/dispatch/waitlog.go
@@ -57,12 +57,17 @@
 		}
 		g.waitLoggedAt = now
 		left := placement.RoomFor(r, in.Workers)
-		c.logTask(g.tasks[0]).WithFields(capacity).WithFields(logrus.Fields{"waited_ms": r.WaitTime.Milliseconds(), "tasks": r.Count, "gang": r.Gang,
+		message := "still waiting for room"
+		evacuation, blocked := c.evacuationFields(in, r)
+		if blocked {
+			message = "still waiting, all workers that could run it are in evacuated failure domains"
+		}
+		c.logTask(g.tasks[0]).WithFields(capacity).WithFields(evacuation).WithFields(logrus.Fields{"waited_ms": r.WaitTime.Milliseconds(), "tasks": r.Count, "gang": r.Gang,
 			"same_rack": r.Step.SameRack, "data_rack": r.Step.DataRack, "accelerators_each": r.Step.Need.Accelerators,
 			"within_guarantee": r.WithinGuarantee, "fit_fleet": l.room.Fleet, "fit_rack": l.room.Rack, "left_fleet": left.Fleet,
 			"left_rack": left.Rack, "reserved": slices.Contains(in.decision.Reserved, l.request), "avoided_workers": l.avoided, "ahead": l.request,
 			"priority": r.Priority, "standing": c.objectiveStatus(g.job, now).String(), "preemptions": g.preemptions,
-			"remaining_percent": int(100 * c.remainingShare(g.job, g.job.occurrence(g.occurrence)))}).Info("still waiting for room")
+			"remaining_percent": int(100 * c.remainingShare(g.job, g.job.occurrence(g.occurrence)))}).Info(message)
 	}
 }
 
