Read evacuations from the operator's table

Each host maintains their set across listings and changes, the leader's core gets it at each change, and that of a new leader before its first cycle. The age now counts the time for which the machine was suspended: the monotonic clock of Go stands still then, so that a copy would count as fresh after a resume.

--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -38,9 +38,10 @@
 
 // Sources follows the tables that operators and workers write. FollowOperator and FollowWorkers return when ctx ends.
 type Sources interface {
-	// FollowOperator calls policy with each configuration that is read and waves with new maintenance waves.
-	FollowOperator(ctx context.Context, policy func(*batch.Policy), waves func([]batch.Wave))
-	// PolicyAge returns the time since the newest configuration was last confirmed by a read.
+	// FollowOperator calls policy with each configuration that is read, waves with new maintenance waves, and evacuations with the complete set of evacuated
+	// failure domains whenever it is listed or may have changed, before it calls policy for the same rows.
+	FollowOperator(ctx context.Context, policy func(*batch.Policy), waves func([]batch.Wave), evacuations func([]string))
+	// PolicyAge returns the time since the newest configuration, and all else that FollowOperator reports, was last confirmed by a read.
 	PolicyAge() time.Duration
 	// FollowWorkers calls report with the complete list of workers at each change.
 	FollowWorkers(ctx context.Context, report func([]batch.Worker))
@@ -90,8 +91,10 @@
 	mu     sync.Mutex
 	bounds dispatch.Bounds
 	waves  []batch.Wave
-	runner *dispatch.Runner // while leading
-	epoch  uint64           // while leading, else 0
+	// evacuations is the set of evacuated failure domains; replaced as a whole.
+	evacuations []string
+	runner      *dispatch.Runner // while leading
+	epoch       uint64           // while leading, else 0
 }
 
 var leaderKey = rowstore.Key{Table: dispatch.TableStates, Partition: dispatch.Partition, Key: dispatch.LeaderKey}
@@ -124,6 +127,8 @@
 	OtherHosts    int                // number of other hosts in the host list
 	Epoch         uint64             // while this host leads, else 0
 	Leader        *dispatch.Overview // nil while it doesn't lead
+	// EvacuatedDomains is the number of failure domains that are evacuated, also those without workers.
+	EvacuatedDomains int
 }
 
 // Status returns the state of the host.
@@ -134,6 +139,7 @@
 	}
 	h.mu.Lock()
 	r, epoch := h.runner, h.epoch
+	s.EvacuatedDomains = len(h.evacuations)
 	h.mu.Unlock()
 	s.Epoch = epoch
 	if r != nil {
@@ -172,7 +178,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	group.Go(func() { h.statesFollower.Run(serveCtx) })
-	group.Go(func() { h.options.Sources.FollowOperator(serveCtx, h.setPolicy, h.addWaves) })
+	group.Go(func() { h.options.Sources.FollowOperator(serveCtx, h.setPolicy, h.addWaves, h.setEvacuations) })
 	group.Go(func() { h.register(serveCtx) })
 	h.leadLoop(leadCtx, &group)
 }
@@ -224,6 +230,24 @@
 	return slices.Clone(h.waves)
 }
 
+// setEvacuations records the set of evacuated failure domains and passes it to the core while this host leads. It returns once the core has the set, so that
+// the age of the copy of the operator's table never counts for a set that the core lacks.
+func (h *Host) setEvacuations(domains []string) {
+	h.mu.Lock()
+	h.evacuations = domains
+	r := h.runner
+	h.mu.Unlock()
+	if r != nil {
+		r.Do(func(c *dispatch.Core, now time.Duration) { c.SetEvacuations(h.evacuatedDomains(), now) })
+	}
+}
+
+func (h *Host) evacuatedDomains() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.evacuations
+}
+
 // statesInterval returns how often this host reads the states table.
 func (h *Host) statesInterval() time.Duration {
 	leader, known := h.leaderWatch.Leader()
@@ -310,12 +334,14 @@
 	r := dispatch.NewRunner(core, session, adviceForwarder{h.options.WorkerAPI, h.options.Peers}, h.options.Clock, h.options.Metrics, h.options.Log)
 	r.SetAdviceRequesters(h.OtherHosts)
 	r.SetWorkersAge(h.options.Sources.WorkersAge)
+	r.SetOperatorAge(h.options.Sources.PolicyAge)
 	h.setRunner(r, session.Epoch())
 	r.SetMachines(h.options.Machines)
-	// A configuration or wave that was read during the restore has not reached the core.
+	// A configuration, wave or evacuation that was read before or during the restore has not reached the core.
 	r.Do(func(c *dispatch.Core, now time.Duration) {
 		c.SetPolicy(h.intake.Policy())
 		c.SetWaves(h.maintenanceWaves(), now)
+		c.SetEvacuations(h.evacuatedDomains(), now)
 	})
 	var group sync.WaitGroup
 	defer group.Wait()
--- a/internal/batchhost/host_test.go
+++ b/internal/batchhost/host_test.go
@@ -44,7 +44,7 @@
 type emptySources struct{}
 
 // FollowOperator implements Sources.
-func (emptySources) FollowOperator(ctx context.Context, _ func(*batch.Policy), _ func([]batch.Wave)) {
+func (emptySources) FollowOperator(ctx context.Context, _ func(*batch.Policy), _ func([]batch.Wave), _ func([]string)) {
 	<-ctx.Done()
 }
 
--- a/internal/rowstore/follower.go
+++ b/internal/rowstore/follower.go
@@ -7,6 +7,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+
+	"samphirewell/internal/clock"
 )
 
 const (
@@ -41,10 +43,11 @@
 	Interval func() time.Duration
 	Log      logrus.FieldLogger
 
-	confirmedAt  atomic.Int64 // when the newest successful read was sent, in nanoseconds after start on the monotonic clock; 0 without one
-	start        time.Time
-	failing      bool   // a failed read was logged, and no read has succeeded since
-	startVersion uint64 // Run begins after this version; 0 makes it begin with a listing
+	confirmedAt   atomic.Int64 // when the newest successful read was sent, in nanoseconds after start on the monotonic clock; 0 without one
+	confirmedBoot atomic.Int64 // the same time in nanoseconds since the boot of the machine
+	start         time.Time
+	failing       bool   // a failed read was logged, and no read has succeeded since
+	startVersion  uint64 // Run begins after this version; 0 makes it begin with a listing
 }
 
 // Age returns the time since the copy was last confirmed by a read, or the largest duration before the first one.
@@ -56,6 +59,15 @@
 	return now.Sub(f.start) - time.Duration(at)
 }
 
+// AgeSinceBoot is Age by a clock that advances while the machine is suspended.
+func (f *Follower) AgeSinceBoot() time.Duration {
+	at := f.confirmedBoot.Load()
+	if at == 0 {
+		return time.Duration(1<<63 - 1)
+	}
+	return clock.Boot{}.SinceBoot() - time.Duration(at)
+}
+
 // StartAfter makes Run begin with the changes after a version instead of a listing. It must be called before Run.
 func (f *Follower) StartAfter(version uint64) { f.startVersion = version }
 
@@ -64,7 +76,7 @@
 	pause := followRetryMin
 	version, listed := f.startVersion, f.startVersion > 0
 	for ctx.Err() == nil {
-		sent := time.Now()
+		sent, sentBoot := time.Now(), clock.Boot{}.SinceBoot()
 		var err error
 		if listed {
 			version, err = f.readChanges(ctx, version)
@@ -83,6 +95,7 @@
 			pause = min(2*pause, followRetryMax)
 			continue
 		}
+		f.confirmedBoot.Store(max(1, int64(sentBoot)))
 		f.confirmedAt.Store(max(1, int64(sent.Sub(f.start))))
 		pause = followRetryMin
 		sleep(ctx, f.interval()-time.Since(sent))
--- a/internal/rowstore/rowstore_test.go
+++ b/internal/rowstore/rowstore_test.go
@@ -148,8 +148,9 @@
 	s.Put(rowKey("", "wake"), []byte("1")) // ends the read that waits for a change
 	time.Sleep(300 * time.Millisecond)
 	must.GreaterEq(t, 250*time.Millisecond, f.Age(time.Now()))
+	must.GreaterEq(t, 250*time.Millisecond, f.AgeSinceBoot())
 	s.SetFault(nil)
-	eventually(t, "fresh again", func() bool { return f.Age(time.Now()) < 1500*time.Millisecond })
+	eventually(t, "fresh again", func() bool { return max(f.Age(time.Now()), f.AgeSinceBoot()) < 1500*time.Millisecond })
 }
 
 // Guards against a host without a copy of a large table for as long as the store is slow: each listing would be broken off and begun again.
