Learn the speed of workers from reports on the leader

Cause: the leader knows no differences between workers; run times on slow ones count as those of the queue.

Core.slowness is the factor of a worker; nothing places by it yet. Samples of run times are divided by the lasting slowness of the run's slowest worker where that is certain; the hang bound of a run without progress of its own and the expected rest of a run are multiplied by it. The mean factor is that of the known workers, without an anchor: with one, the only worker of a fleet became slower than the mean. The end of a run changes no rate: a late end after 99% counted as a slowdown of 8 times (TestSustainedOverloadLeavesJobsInTime found both). A log line for a changed estimate, the slowness in "starting run", the histogram worker_slowness.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -7,6 +7,7 @@
 
 	"samphirewell/internal/batch"
 	"samphirewell/internal/placement"
+	"samphirewell/internal/speed"
 )
 
 // Bounds are the limits that workers and operators set.
@@ -63,6 +64,8 @@
 	workersStale         bool           // the capacities of workers may have changed unnoticed
 	deposed              bool
 	runTimeEstimates     runTimeEstimates
+	speed                *speed.Model
+	trueSlowness         func(worker string) float64 // replaces the estimates of speed; see SetSlowness
 	urgentDemand         urgentDemand
 	ampleSince           map[string]time.Duration // since when the capacity of a service has been ample
 	lastStateCleanup     time.Duration
@@ -84,7 +87,7 @@
 // New returns the core of a new leader. now is the time at which its epoch was stored.
 func New(epoch uint64, policy *batch.Policy, bounds Bounds, log logrus.FieldLogger) *Core {
 	c := &Core{epoch: epoch, bounds: bounds, log: log, policy: policy, jobs: map[string]*job{}, endedJobs: map[string]endedJob{},
-		workers: map[string]*worker{}, rows: rowQueue{queued: map[rowID]*pendingRow{}}, tracking: taskTracking{byTeam: map[string]int{}}, dirty: true, runTimeEstimates: runTimeEstimates{}, nextAdviceAt: map[string]time.Duration{},
+		workers: map[string]*worker{}, rows: rowQueue{queued: map[rowID]*pendingRow{}}, tracking: taskTracking{byTeam: map[string]int{}}, dirty: true, runTimeEstimates: runTimeEstimates{}, speed: speed.New(), nextAdviceAt: map[string]time.Duration{},
 		counts: newCounts(), waves: map[string]*wave{}, storedWaves: map[string]waveValue{}, ampleSince: map[string]time.Duration{}}
 	c.preemptionBudget, c.planner, c.expectedRunTime = c.preemptionBudgetOf, placement.Plan, c.runTimeEstimates.expect
 	return c
--- a/internal/dispatch/counts.go
+++ b/internal/dispatch/counts.go
@@ -55,6 +55,8 @@
 	Leases  int             // workers with runs, whose leases are renewed
 	Used    map[int]float64 // resources that runs hold, by priority, core equivalents
 	Unused  float64         // free capacity of usable workers, core equivalents
+	// Slowness has the estimated factor of the run times on each registered worker, relative to the mean worker.
+	Slowness []float64
 }
 
 // Overview returns the state of the leader.
@@ -86,6 +88,7 @@
 			continue
 		}
 		o.Workers[w.Domain]++
+		o.Slowness = append(o.Slowness, c.slowness(w))
 		if c.usable(w, now) {
 			o.Usable[w.Domain]++
 			o.Free[w.Domain] += max(0, w.free().Accelerators)
--- a/internal/dispatch/hang.go
+++ b/internal/dispatch/hang.go
@@ -32,12 +32,12 @@
 func (c *Core) hangBound(t *task) time.Duration {
 	perPercent, ok := t.timePerPercent()
 	if !ok {
-		perPercent = c.longestRunTime(t) / 100
+		perPercent = time.Duration(max(1, c.certainSlowness(t.group)) * float64(c.longestRunTime(t)) / 100)
 	}
 	return hangBound(perPercent, t.group.hangs)
 }
 
-// longestRunTime returns the time that a whole run of a task may take on a sound worker.
+// longestRunTime returns the time that a whole run of a task may take on the mean worker, if that is sound.
 func (c *Core) longestRunTime(t *task) time.Duration {
 	estimate := t.group.spec().Estimate
 	learned, known := c.runTimeEstimates[t.group.job.Queue.Name]
--- a/internal/dispatch/model.go
+++ b/internal/dispatch/model.go
@@ -68,6 +68,7 @@
 	avoidedWorkers map[string]bool
 	readySince     time.Duration
 	waitLoggedAt   time.Duration // when its wait was last logged
+	progressFrom   progressStart // of the newest run that shows the speed of its workers
 	finished       bool
 
 	preemptions int // under this leader
@@ -222,6 +223,8 @@
 	endedProcess      process        // the newest process that is known to have ended, because another one responded at its address
 	lastClock         time.Duration  // the worker's clock in its newest report
 	lastContact       time.Duration  // when that report was received
+	reportGap         time.Duration  // time between that report and the one before
+	loggedSlowness    float64        // estimate in the last log line about its speed; 0 if there is none
 	leaseEnd          time.Duration  // on the worker's clock; no run outlasts it
 	leasesExpireAt    time.Duration  // on the leader's clock, for a worker that never responded under the current epoch
 
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -155,6 +155,7 @@
 	}
 	w.incarnationAt = received
 	c.checkSuspects(w, r.Running, received)
+	w.reportGap = received - w.lastContact
 	w.lastClock, w.lastContact, w.unresponsive = r.Clock, received, false
 	if !w.contacted {
 		// A lease that an earlier leader granted ends at most LeaseMax from now.
@@ -293,7 +294,7 @@
 		switch {
 		case t.percent > 0:
 		case t.inherited:
-			t.startedAt = now - time.Duration(float64(c.expectedRunTime(&t.group.job.Job, t.group.step))*float64(run.Percent)/100)
+			t.startedAt = now - time.Duration(float64(c.expectedOnWorkers(t.group))*float64(run.Percent)/100)
 		case t.resumed:
 			t.startPercent, t.startPercentAt = run.Percent, now
 		}
@@ -303,6 +304,7 @@
 		c.setPhase(t, running)
 		t.confirmed, t.confirmedAt = true, now
 	}
+	c.observeProgress(t, now)
 }
 
 // closeMissingRuns closes the runs that the worker does not list and can no longer start.
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -45,9 +45,10 @@
 		w.removeAlloc(t.key())
 	}
 	c.dirty = true
+	c.observeEnd(t, o, now)
 	if o == outcomeDone {
 		if c.isRunTimeSample(t) {
-			c.runTimeEstimates.addSample(g.job.Queue.Name, now-t.startedAt)
+			c.runTimeEstimates.addSample(g.job.Queue.Name, time.Duration(float64(now-t.startedAt)/c.certainSlowness(g)))
 		}
 		c.completeGroup(t, now)
 		return
@@ -237,7 +238,7 @@
 	w.leaseEnd = max(w.leaseEnd, lease)
 	c.logTask(t).WithFields(logrus.Fields{"waited_ms": (now - t.group.readySince).Milliseconds(), "resume": t.resumed,
 		"priority": t.group.job.Queue.Priority, "standing": c.objectiveStatus(t.group.job, now).String(), "core_equivalents": int(t.group.spec().Need.CoreEquivalents()),
-		"gang_size": len(t.group.tasks)}).Info("starting run")
+		"gang_size": len(t.group.tasks), "slowness": rounded(c.slowness(w))}).Info("starting run")
 	c.counts.Starts = append(c.counts.Starts, StartCount{t.group.job.Queue.Priority, now - t.group.readySince})
 	c.pollWakeups = append(c.pollWakeups, w.ID)
 	c.orders = append(c.orders, Order{Worker: w.Worker, Epoch: c.epoch, Task: t.name, Run: run, Payload: t.group.job.Payload,
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -58,6 +58,7 @@
 
 func (c *Core) removeWorker(w *worker) {
 	delete(c.workers, w.ID)
+	c.speed.Forget(w.ID)
 	c.byID = slices.DeleteFunc(c.byID, func(other *worker) bool { return other == w })
 }
 
@@ -127,5 +128,5 @@
 	if perPercent, ok := t.timePerPercent(); ok {
 		return time.Duration(100-t.percent)*perPercent - (now - t.percentChangedAt)
 	}
-	return max(0, c.expectedRunTime(&t.group.job.Job, t.group.step)-(now-t.startedAt))
+	return max(0, c.expectedOnWorkers(t.group)-(now-t.startedAt))
 }
--- a/internal/dispatch/times.go
+++ b/internal/dispatch/times.go
@@ -9,7 +9,7 @@
 // minSampleWeight is the least weight of a new sample in the mean run time, so that the mean follows the last 20 runs or so.
 const minSampleWeight = 0.05
 
-// runTimeEstimate is the mean run time of whole tasks.
+// runTimeEstimate is the mean run time of whole tasks on the mean worker.
 type runTimeEstimate struct {
 	mean    time.Duration
 	samples int
@@ -29,7 +29,7 @@
 	r[queue] = e
 }
 
-// expect returns the expected run time of a task of a step.
+// expect returns the expected run time of a task of a step on the mean worker.
 func (r runTimeEstimates) expect(j *batch.Job, step int) time.Duration {
 	if e, ok := r[j.Queue.Name]; ok {
 		return e.mean
--- a/internal/speed/model.go
+++ b/internal/speed/model.go
@@ -39,8 +39,6 @@
 	progressError = 0.0041
 	// timeError is the standard deviation of the time of a report.
 	timeError = 50 * time.Millisecond
-	// meanAnchor is the number of workers of factor 1 that are added to the mean of the fleet, so that the first workers that are observed don't define it.
-	meanAnchor = 10
 	// runRetention is how long a run or step is kept without a report, several times the longest interval between reports.
 	runRetention  = 30 * time.Second
 	sweepInterval = 5 * time.Second
@@ -151,7 +149,7 @@
 	}
 	r.seenAt, r.step.seenAt = m.now, m.now
 	if p := (point{o.Elapsed.Seconds(), min(1, o.Progress)}); r.usable(p, o.Ended, m.slowdownOf(r)) {
-		m.advance(r, p)
+		m.advance(r, p, o.Ended)
 		m.update(r)
 	}
 	if o.Ended {
@@ -291,9 +289,12 @@
 
 func (w *workerState) belief() gaussian { return w.base.plus(w.messages).gaussian() }
 
-// fleetMean returns the logarithm of the mean factor of the known workers.
+// fleetMean returns the logarithm of the mean factor of the known workers. What they have in common can't be told from an error of the expected run times.
 func (m *Model) fleetMean() float64 {
-	return math.Log((meanAnchor + max(0, m.factorSum)) / float64(meanAnchor+m.known))
+	if m.known == 0 || m.factorSum <= 0 {
+		return 0
+	}
+	return math.Log(m.factorSum / float64(m.known))
 }
 
 // endRun makes the messages of a run part of the beliefs.
@@ -346,22 +347,41 @@
 
 // Slowness returns the estimate for an incarnation of a worker at the time of the newest observation.
 func (m *Model) Slowness(worker string, incarnation int64) Estimate {
+	lasting, slow := m.slowness(worker, incarnation)
+	return estimateOf(gaussian{lasting.mean + slow, lasting.variance})
+}
+
+// Lasting returns the estimate without a temporary slowdown that the worker may have now.
+func (m *Model) Lasting(worker string, incarnation int64) Estimate {
+	lasting, _ := m.slowness(worker, incarnation)
+	return estimateOf(lasting)
+}
+
+// Factor returns the Mean of Slowness.
+func (m *Model) Factor(worker string, incarnation int64) float64 {
+	lasting, slow := m.slowness(worker, incarnation)
+	return math.Exp(lasting.mean + slow)
+}
+
+func estimateOf(g gaussian) Estimate {
+	d := math.Sqrt(g.variance)
+	return Estimate{math.Exp(g.mean), math.Exp(g.mean - d), math.Exp(g.mean + d)}
+}
+
+// slowness returns the belief about the logarithm of the lasting slowness of a worker, relative to the mean worker, and the logarithm of its slowdown.
+func (m *Model) slowness(worker string, incarnation int64) (lasting gaussian, slow float64) {
 	w := m.workers[worker]
 	if w == nil {
-		return estimateOf(gaussian{0, workerSpread * workerSpread})
+		return gaussian{0, workerSpread * workerSpread}, 0
 	}
-	belief, slow := w.base.widened(math.Exp(wideningPerSecond*max(0, m.now-w.baseAt).Seconds()), workerSpread*workerSpread).plus(w.messages), w.slowdown.at(m.now)
+	belief := w.base.widened(math.Exp(wideningPerSecond*max(0, m.now-w.baseAt).Seconds()), workerSpread*workerSpread).plus(w.messages)
+	slow = w.slowdown.at(m.now)
 	if incarnation > w.incarnation {
 		belief, slow = belief.widened(restartWidening, workerSpread*workerSpread), 0
 	}
-	g := belief.gaussian()
-	g.mean += slow - m.fleetMean()
-	return estimateOf(g)
-}
-
-func estimateOf(g gaussian) Estimate {
-	d := math.Sqrt(g.variance)
-	return Estimate{math.Exp(g.mean), math.Exp(g.mean - d), math.Exp(g.mean + d)}
+	lasting = belief.gaussian()
+	lasting.mean -= m.fleetMean()
+	return lasting, slow
 }
 
 // Forget drops a worker that has left.
--- a/internal/speed/model_test.go
+++ b/internal/speed/model_test.go
@@ -298,6 +298,26 @@
 	must.LessEq(t, 2*seeds, wrong, must.Sprint("workers that aren't slowed down"))
 }
 
+// Guards against a slowness of the only worker of a fleet, where nothing tells it from an error of the expected run times.
+func TestTheOnlyWorkerIsTheMeanWorker(t *testing.T) {
+	f := newFleet(1, 1)
+	f.gangShare = 0
+	f.play(time.Minute)
+	must.Between(t, 0.999, f.model.Slowness("w0", 1).Mean, 1.001)
+}
+
+// Guards against a run that seems to slow down because 99% are reported until its end, which is reported late.
+func TestLateEndIsNoSlowdown(t *testing.T) {
+	m := step(20, 1)
+	for _, at := range []time.Duration{6 * time.Second, 8 * time.Second, 9900 * time.Millisecond, 10300 * time.Millisecond, 10700 * time.Millisecond} {
+		m.Observe(single("run-0", 0, at, min(0.995, at.Seconds()/10)))
+	}
+	last := single("run-0", 0, 11*time.Second, 1)
+	last.Ended = true
+	m.Observe(last)
+	must.Between(t, 0.9, m.Slowness("w0", 1).Mean, 1.15)
+}
+
 // Guards against gangs that make all their workers seem as slow as the slowest one.
 func TestSlowGangBlamesTheWorkerThatIsNotKnownToBeFast(t *testing.T) {
 	m := step(20, 1)
@@ -387,3 +407,18 @@
 		f.play(time.Second)
 	}
 }
+
+// BenchmarkFactor measures the cost of the factors of all workers, which a scheduling cycle needs.
+func BenchmarkFactor(b *testing.B) {
+	f := newFleet(1, 1100)
+	f.play(10 * time.Second)
+	names := make([]string, len(f.factors))
+	for i := range names {
+		names[i] = fmt.Sprint("w", i)
+	}
+	for b.Loop() {
+		for _, name := range names {
+			_ = f.model.Factor(name, 1)
+		}
+	}
+}
--- a/internal/speed/slowdown.go
+++ b/internal/speed/slowdown.go
@@ -10,6 +10,8 @@
 	minReportInterval = 0.2
 	// minProgress is the least progress, made or expected, from which an observation is used: progress comes in whole percent.
 	minProgress = 0.03
+	// maxProgress is the largest progress of a run that goes on from which it is used: workers may report 99% until the end of the run is known.
+	maxProgress = 0.98
 	// changeFactor is the least factor between the rates of two parts of a run that counts as a change of its worker's speed, and changeDeviations the
 	// least number of standard deviations.
 	changeFactor, changeDeviations = 1.7, 3.0
@@ -54,7 +56,7 @@
 		return false
 	case ended:
 		return gained > 0
-	case took < minReportInterval:
+	case took < minReportInterval || p.progress > maxProgress:
 		return false
 	}
 	rate := 1 / r.expected
@@ -68,11 +70,11 @@
 func (r *runState) share() float64 { return r.last.progress - r.from.progress }
 
 // advance adds an observation to a run. A change of the rate within a run shows a change of the speed of its workers, and the part after it tells nothing
-// about their lasting slowness.
-func (m *Model) advance(r *runState, p point) {
+// about their lasting slowness. The end of a run may be reported late, and changes no rate.
+func (m *Model) advance(r *runState, p point, ended bool) {
 	took, gained := p.elapsed-r.last.elapsed, p.progress-r.last.progress
 	share := r.share()
-	if share < minProgress {
+	if share < minProgress || ended {
 		r.effective += took * math.Exp(-m.slowdownOf(r))
 		r.last = p
 		return
