--- a/internal/dispatch/counts.go
+++ b/internal/dispatch/counts.go
@@ -57,6 +57,8 @@
 	Unused  float64         // free capacity of usable workers, core equivalents
 	// EvacuatedRuns is the number of runs that may exist on workers of evacuated failure domains.
 	EvacuatedRuns int
+	// Slowness has the estimated factor of the run times on each registered worker, relative to the mean worker.
+	Slowness []float64
 }
 
 // Overview returns the state of the leader.
@@ -91,6 +93,7 @@
 			continue
 		}
 		o.Workers[w.Domain]++
+		o.Slowness = append(o.Slowness, c.slowness(w))
 		if c.usable(w, now) {
 			o.Usable[w.Domain]++
 			o.Free[w.Domain] += max(0, w.free().Accelerators)
