Use the learned speed of workers, and weigh declared run times by their accuracy

Cause: urgent gangs start on slow or unknown workers. The expected run time was the mean of the queue, whatever the caller declared, so that the objective of a job was off by the spread of the run times of its queue. Change: workers of a fleet that is certainly uneven get their slowness; a tenth of the workers of unknown speed gets a patient task each so that it becomes known. Package runtimes takes over the run-time estimates of dispatch and weighs the mean of the queue against the declared time by the inverse of their variances.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -7,6 +7,7 @@
 
 	"samphirewell/internal/batch"
 	"samphirewell/internal/placement"
+	"samphirewell/internal/runtimes"
 	"samphirewell/internal/speed"
 )
 
@@ -67,7 +68,7 @@
 	operatorStale        bool            // an evacuation may have been requested unnoticed
 	evacuations          map[string]bool // failure domains that are evacuated; replaced as a whole
 	deposed              bool
-	runTimeEstimates     runTimeEstimates
+	runTimes             *runtimes.Estimates
 	speed                *speed.Model
 	trueSlowness         func(worker string) float64 // replaces the estimates of speed; see SetSlowness
 	urgentDemand         urgentDemand
@@ -91,9 +92,9 @@
 // New returns the core of a new leader. now is the time at which its epoch was stored.
 func New(epoch uint64, policy *batch.Policy, bounds Bounds, log logrus.FieldLogger) *Core {
 	c := &Core{epoch: epoch, bounds: bounds, log: log, policy: policy, jobs: map[string]*job{}, endedJobs: map[string]endedJob{},
-		workers: map[string]*worker{}, rows: rowQueue{queued: map[rowID]*pendingRow{}}, tracking: taskTracking{byTeam: map[string]int{}}, dirty: true, runTimeEstimates: runTimeEstimates{}, speed: speed.New(), nextAdviceAt: map[string]time.Duration{},
+		workers: map[string]*worker{}, rows: rowQueue{queued: map[rowID]*pendingRow{}}, tracking: taskTracking{byTeam: map[string]int{}}, dirty: true, runTimes: runtimes.New(), speed: speed.New(), nextAdviceAt: map[string]time.Duration{},
 		counts: newCounts(), waves: map[string]*wave{}, storedWaves: map[string]waveValue{}, ampleSince: map[string]time.Duration{}}
-	c.preemptionBudget, c.planner, c.expectedRunTime = c.preemptionBudgetOf, placement.Plan, c.runTimeEstimates.expect
+	c.preemptionBudget, c.planner, c.expectedRunTime = c.preemptionBudgetOf, placement.Plan, c.learnedRunTime
 	return c
 }
 
@@ -107,6 +108,11 @@
 // SetPlanner replaces the placement of tasks, for comparisons of policies.
 func (c *Core) SetPlanner(plan func(placement.Input) placement.Decision) { c.planner = plan }
 
+// learnedRunTime returns the run time of a task of a step on the mean worker that earlier tasks and the caller's estimate suggest.
+func (c *Core) learnedRunTime(j *batch.Job, step int) time.Duration {
+	return c.runTimes.Expect(j.Queue.Name, j.Steps[step].Estimate)
+}
+
 // SetRunTimes replaces the estimates of run times, for comparisons of policies.
 func (c *Core) SetRunTimes(expect func(j *batch.Job, step int) time.Duration) {
 	c.expectedRunTime = expect
--- a/internal/dispatch/hang.go
+++ b/internal/dispatch/hang.go
@@ -40,10 +40,10 @@
 // longestRunTime returns the time that a whole run of a task may take on the mean worker, if that is sound.
 func (c *Core) longestRunTime(t *task) time.Duration {
 	estimate := t.group.spec().Estimate
-	learned, known := c.runTimeEstimates[t.group.job.Queue.Name]
+	learned, samples := c.runTimes.Mean(t.group.job.Queue.Name)
 	switch {
-	case known:
-		return max(learned.mean, estimate)
+	case samples > 0:
+		return max(learned, estimate)
 	case estimate > 0:
 		return estimateError * estimate
 	}
--- a/internal/dispatch/hang_test.go
+++ b/internal/dispatch/hang_test.go
@@ -76,7 +76,7 @@
 		case 0:
 			g.job.Steps[0].Estimate = time.Duration(rapid.Float64Range(1.0/estimateError, 5).Draw(rt, "estimate") * float64(length))
 		case 1:
-			c.runTimeEstimates.addSample("batch", length)
+			c.runTimes.AddSample("batch", length, 0)
 		case 2:
 			g.job.Steps[0].Estimate, length = 0, min(length, unknownRunTime)
 		}
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -139,7 +139,7 @@
 	emptyWorkers   map[int]bool
 	waitLogs       []waitLog
 	freePercent    int     // free share of the capacity before the decision
-	fastest        float64 // slowness of the fastest usable worker
+	fastest        float64 // slowness of the fastest usable worker; 1 if workers don't differ
 	decision       placement.Decision
 }
 
@@ -147,8 +147,8 @@
 	in := &planInput{service: service, workerIndex: make(map[string]int, len(c.byID)), tasksPerWorker: map[*stepState]map[int]int{},
 		stoppable: map[*taskGroup]bool{}, admitted: map[int]bool{}}
 	c.addWorkers(in, now)
+	c.addSlowness(in)
 	in.admitSuspected(ready, now)
-	in.fastest = fastestOf(in.Workers)
 	c.addRuns(in, guaranteed, now)
 	c.addRequests(in, ready, guaranteed, now)
 	usage := urgentUsage(in.workers)
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -48,7 +48,7 @@
 	c.observeEnd(t, o, now)
 	if o == outcomeDone {
 		if c.isRunTimeSample(t) {
-			c.runTimeEstimates.addSample(g.job.Queue.Name, time.Duration(float64(now-t.startedAt)/c.certainSlowness(g)))
+			c.runTimes.AddSample(g.job.Queue.Name, time.Duration(float64(now-t.startedAt)/c.certainSlowness(g)), g.spec().Estimate)
 		}
 		c.completeGroup(t, now)
 		return
--- a/internal/dispatch/slownesslimit.go
+++ b/internal/dispatch/slownesslimit.go
@@ -5,34 +5,53 @@
 	"time"
 
 	"samphirewell/internal/placement"
+	"samphirewell/internal/speed"
 )
 
 const (
-	// slownessSafety is the part of the time up to the objective that a run may take as expected. The rest covers errors of the expected run time and the
-	// time that stores and orders take.
-	slownessSafety = 0.85
+	// slownessSafety is the part of the time up to the objective that a run may take as expected. The rest covers the time that stores and orders take.
+	slownessSafety = 0.9
 	// fastWorkerWaitLimit is how long a request within a guarantee waits for fast workers. It leaves time to stop other runs (0.9 s) and to store the start
 	// within the shortest time in which a guarantee has to be met (2.7 s).
 	fastWorkerWaitLimit = 800 * time.Millisecond
 	// minSlack is how many times the time on the fastest worker has to be left for a request to wait for a fast worker.
 	minSlack = 1.1
+	// speedProbeShare is the share of the workers that may run a task at a time from which their speed is learned.
+	speedProbeShare = 0.1
 )
 
-// fastestOf returns the lowest slowness of the usable workers.
-func fastestOf(workers []placement.Worker) float64 {
-	fastest := math.Inf(1)
-	for i := range workers {
-		if w := &workers[i]; w.Usable {
-			fastest = min(fastest, w.Slowness)
+// addSlowness sets the slowness of the workers if they certainly differ, and marks those of which it should be learned.
+func (c *Core) addSlowness(in *planInput) {
+	estimates := make([]speed.Estimate, len(in.workers))
+	for i, w := range in.workers {
+		estimates[i] = c.Slowness(w.ID)
+	}
+	in.fastest = 1
+	if !speed.Fleet(estimates) {
+		return
+	}
+	in.fastest = math.Inf(1)
+	in.SpeedProbes = int(speedProbeShare * float64(len(in.workers)))
+	for i, e := range estimates {
+		w := &in.Workers[i]
+		w.Slowness, w.LikelySlowness = e.Mean, e.High
+		switch {
+		case !w.Usable:
+			continue
+		case e.Known():
+		case len(in.workers[i].allocs) > 0:
+			in.SpeedProbes--
+		default:
+			w.SpeedUnknown = true
 		}
+		in.fastest = min(in.fastest, e.Mean)
 	}
-	return fastest
 }
 
 // limitSlowness sets the slowness with which a request for the group still meets its objective or, if no worker is fast enough for that, three times its
 // objective. An urgent request that can still meet its objective on a fast worker waits for one.
 func (c *Core) limitSlowness(r *placement.Request, g *taskGroup, fastest float64, now time.Duration) {
-	if g.spec().LongRunning || math.IsInf(fastest, 1) {
+	if g.spec().LongRunning {
 		return
 	}
 	paths := c.remainingPaths(g.job)
--- a/internal/dispatch/takeover_test.go
+++ b/internal/dispatch/takeover_test.go
@@ -43,12 +43,12 @@
 	s.mustHaveNoViolations()
 	must.Eq(t, batch.Completed, s.state("a"))
 	must.Eq(t, batch.Completed, s.state("b"))
-	estimate, ok := s.leaders[1].core.runTimeEstimates["normal"]
-	must.False(t, ok, must.Sprintf("estimate %v from runs that its predecessor started", estimate))
+	estimate, samples := s.leaders[1].core.runTimes.Mean("normal")
+	must.Eq(t, 0, samples, must.Sprintf("estimate %v from runs that its predecessor started", estimate))
 	s.submit(simpleJob("c", "normal", 1, 1, batch.Resources{MilliCores: 1000, Accelerators: 8}))
 	s.run(5 * time.Second)
-	_, ok = s.leaders[1].core.runTimeEstimates["normal"]
-	must.True(t, ok, must.Sprint("its own runs update the estimate"))
+	_, samples = s.leaders[1].core.runTimes.Mean("normal")
+	must.Positive(t, samples, must.Sprint("its own runs update the estimate"))
 }
 
 // Guards against a new leader that regards all running work as just started, and stops runs that are nearly done.
--- a/internal/dispatch/times_test.go
+++ b/internal/dispatch/times_test.go
@@ -23,7 +23,9 @@
 	report(62)
 	s.fleet.now = begin + 3*time.Second
 	endRun(s, c, EndDone, "")
-	must.Eq(t, runTimeEstimate{3 * time.Second, 1}, c.runTimeEstimates["batch"])
+	mean, samples := c.runTimes.Mean("batch")
+	must.Eq(t, 3*time.Second, mean)
+	must.Eq(t, 1, samples)
 }
 
 // Guards against run-time estimates of some milliseconds from tasks that had only a small part left to do.
@@ -39,7 +41,8 @@
 	must.True(t, run.resumed)
 	s.fleet.now = run.startedAt + 500*time.Millisecond
 	endRun(s, c, EndDone, "")
-	must.MapEmpty(t, c.runTimeEstimates)
+	_, samples := c.runTimes.Mean("batch")
+	must.Eq(t, 0, samples)
 }
 
 // Guards against run-time estimates that are several times too long because of runs away from the rack that their step prefers.
@@ -60,16 +63,3 @@
 	g.spec().DataRack = "rack-1"
 	must.False(t, c.isRunTimeSample(g.tasks[0]))
 }
-
-// Guards against an estimate that follows the last few runs, whose times differ widely.
-func TestRunTimeEstimateIsTheMeanOfManyRuns(t *testing.T) {
-	r := runTimeEstimates{}
-	for i := range 100 {
-		r.addSample("q", time.Duration(1+i%2*4)*time.Second)
-		if i > 10 {
-			must.Between(t, 2700*time.Millisecond, r["q"].mean, 3300*time.Millisecond)
-		}
-	}
-	r.addSample("q", 0)
-	must.Eq(t, 100, r["q"].samples)
-}
--- a/internal/dispatch/workerspeed.go
+++ b/internal/dispatch/workerspeed.go
@@ -39,6 +39,10 @@
 
 // Slowness returns the estimate of the slowness of a worker, as learned from the progress of its runs.
 func (c *Core) Slowness(worker string) speed.Estimate {
+	if c.trueSlowness != nil {
+		f := c.trueSlowness(worker)
+		return speed.Estimate{Mean: f, Low: f, High: f}
+	}
 	incarnation := int64(0)
 	if w := c.workers[worker]; w != nil {
 		incarnation = w.Incarnation
--- a/internal/dispatch/workerspeed_test.go
+++ b/internal/dispatch/workerspeed_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"samphirewell/internal/batch"
+	"samphirewell/internal/runtimes"
 )
 
 // speedTest is a leader with one run of 10 s on each of some workers, whose reports the test makes.
@@ -148,14 +149,14 @@
 		st.report(at, 0)
 	}
 	sample := func(worker int, at time.Duration) time.Duration {
-		st.c.runTimeEstimates = runTimeEstimates{}
-		st.c.expectedRunTime = st.c.runTimeEstimates.expect
+		st.c.runTimes = runtimes.New()
 		st.s.fleet.now = st.begin + at
 		w, run := st.s.fleet.workers[fmt.Sprintf("w0-%d", worker)], st.task(worker)
 		w.endCount++
 		st.c.OnReport(w.ID, WorkerReport{Incarnation: w.Incarnation, Clock: w.clock(),
 			Ended: []EndReport{{N: w.endCount, Task: run.name, Run: run.group.run, Kind: EndDone}}}, st.s.fleet.now, st.s.fleet.now)
-		return st.c.runTimeEstimates["batch"].mean
+		mean, _ := st.c.runTimes.Mean("batch")
+		return mean
 	}
 	fast, slow := sample(1, 8*time.Second), sample(0, 20*time.Second)
 	must.Between(t, 8*time.Second, fast, 11*time.Second)
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -167,6 +167,14 @@
 			p.compareSpeed(preference, a.worker, b.worker), cmp.Compare(a.leftover, b.leftover), cmp.Compare(a.worker, b.worker))
 	})
 	out := make([]int, 0, count)
+	if preference == slowestFirst && !r.Gang && kind == freeCapacity {
+		for i := range candidates {
+			if c := &candidates[i]; len(out) < count && p.takeSpeedProbe(c.worker) {
+				out = append(out, c.worker)
+				c.slots--
+			}
+		}
+	}
 	for _, c := range candidates {
 		for range min(c.slots, count-len(out)) {
 			out = append(out, c.worker)
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -43,7 +43,9 @@
 	Usable           bool            // may get new work
 	Suspected        bool            // not usable only because its health is suspected; it still counts as capacity
 	HealthPenalty    float64         // suspicion of the worker's health; 0 means none
-	Slowness         float64         // factor by which run times on it differ from those on the mean worker; 0 counts as 1
+	Slowness         float64         // expected factor by which run times on it differ from those on the mean worker; 0 counts as 1
+	LikelySlowness   float64         // upper end of the estimate of Slowness; 0 counts as Slowness
+	SpeedUnknown     bool            // its speed is hardly known, and no run on it will show it
 	LatencySensitive bool            // runs latency-sensitive tasks, which have a bound on their response times
 	BestEffort       bool            // runs best-effort tasks, which use the processor time that others leave unused
 	BestEffortTasks  int             // their number
@@ -117,6 +119,8 @@
 	Headroom float64
 	// AmpleFor is how long capacity has been ample, see HasAmpleCapacity.
 	AmpleFor time.Duration
+	// SpeedProbes is how many tasks may be placed on workers with SpeedUnknown in order to learn their speed.
+	SpeedProbes int
 }
 
 // Plan decides one cycle. It changes Free and FutureFree of the workers, and TasksPerWorker and AvoidedWorkers of the requests.
@@ -147,6 +151,7 @@
 	slownessClass      []int         // of each worker
 	slowest            float64       // slowness of the slowest usable worker
 	uneven             bool          // usable workers differ in speed
+	speedProbes        int           // see Input.SpeedProbes
 	decision           Decision
 }
 
@@ -154,6 +159,7 @@
 	p := &planner{workers: in.Workers, runs: in.Runs, requests: in.Requests, preempted: make([]bool, len(in.Runs))}
 	p.indexWorkers()
 	p.indexSlowness()
+	p.speedProbes = in.SpeedProbes
 	p.ample, p.ampleFor = HasAmpleCapacity(in.Workers), in.AmpleFor
 	for i := range p.workers {
 		if w := &p.workers[i]; w.Usable {
@@ -198,10 +204,13 @@
 	if r.MaySpanRacks && p.isCheaperOnPreferredRack(r) {
 		r.MaySpanRacks = false
 	}
-	if p.limitedToFastWorkers(r) && (p.placeOnFastWorkers(i) || r.AwaitsFastWorker) {
+	if p.limitedToFastWorkers(r) && p.placeOnFastWorkers(i) {
 		return
 	}
 	placed := p.fit(r, p.startLimit(r), freeCapacity)
+	if p.tooSlow(r, placed) {
+		return
+	}
 	if len(placed) > 0 {
 		p.place(i, placed)
 	}
--- a/internal/placement/slots.go
+++ b/internal/placement/slots.go
@@ -112,7 +112,7 @@
 
 // fitCount returns how many tasks of the request fit on a worker, at most limit. It is 0 on a worker that must not run them.
 func (p *planner) fitCount(r *Request, w, limit int, kind capacityKind) int {
-	if r.fastOnly && p.workers[w].slowness() > r.SlownessLimit {
+	if r.fastOnly && p.workers[w].likelySlowness() > r.SlownessLimit {
 		return 0
 	}
 	return r.limitFit(w, min(limit, p.slots(r, kind).byWorker[w]))
--- a/internal/placement/slowness.go
+++ b/internal/placement/slowness.go
@@ -22,9 +22,12 @@
 	return w.Slowness
 }
 
-// slownessClass is the number of slowness steps that the worker is above or below the mean worker.
+func (w *Worker) likelySlowness() float64 { return max(w.slowness(), w.LikelySlowness) }
+
+// slownessClass is the number of slowness steps that the worker is above or below the mean worker. The upper end of the estimate counts, so that work with a
+// tight objective goes to workers that are known to be fast, and patient work to the others, which shows how fast these are.
 func (w *Worker) slownessClass() int {
-	return int(math.Round(math.Log(w.slowness()) / math.Log(slownessStep)))
+	return int(math.Round(math.Log(w.likelySlowness()) / math.Log(slownessStep)))
 }
 
 // indexSlowness classifies the workers by their slowness.
@@ -86,6 +89,22 @@
 	return r.MayPreempt && (r.Gang || r.Count == 1) && p.speedPreference(r) == fastestFirst
 }
 
+// takeSpeedProbe reports whether a patient task should run on the worker so that its speed becomes known.
+func (p *planner) takeSpeedProbe(w int) bool {
+	if p.speedProbes <= 0 || !p.workers[w].SpeedUnknown {
+		return false
+	}
+	p.speedProbes--
+	p.workers[w].SpeedUnknown = false
+	return true
+}
+
+// tooSlow reports whether a request should rather wait than run on the workers.
+func (p *planner) tooSlow(r *Request, workers []int) bool {
+	return r.AwaitsFastWorker && p.limitedToFastWorkers(r) &&
+		slices.ContainsFunc(workers, func(w int) bool { return p.workers[w].slowness() > r.SlownessLimit })
+}
+
 // placeOnFastWorkers places a request on workers that meet its slowness limit: on free capacity, on capacity that is about to become free, or by
 // preempting runs within its budget. It returns false and changes nothing if that isn't possible.
 func (p *planner) placeOnFastWorkers(i int) bool {
