Correct run times only by speeds that are certain

Cause: a slowness one standard deviation away from the mean corrected the samples of run times.

Change: two standard deviations, also for the log line. The tests of the samples and of the line have three earlier runs on each worker, since one run isn't enough for that; their bounds are the same.

--- a/internal/dispatch/workerspeed.go
+++ b/internal/dispatch/workerspeed.go
@@ -55,7 +55,7 @@
 		if w := c.workers[t.worker]; w != nil {
 			if c.trueSlowness != nil {
 				factor = c.trueSlowness(w.ID)
-			} else if e := c.speed.Lasting(w.ID, w.Incarnation); e.Low > 1 || e.High < 1 {
+			} else if e := c.speed.Lasting(w.ID, w.Incarnation); e.CertainlyDiffers(1) {
 				factor = e.Mean
 			}
 		}
@@ -159,7 +159,7 @@
 	if before == 0 {
 		before = 1
 	}
-	if certain := e.Low > before || e.High < before; !certain || e.Mean < loggedSlownessChange*before && before < loggedSlownessChange*e.Mean {
+	if !e.CertainlyDiffers(before) || e.Mean < loggedSlownessChange*before && before < loggedSlownessChange*e.Mean {
 		return
 	}
 	w.loggedSlowness = e.Mean
--- a/internal/dispatch/workerspeed_test.go
+++ b/internal/dispatch/workerspeed_test.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"samphirewell/internal/batch"
+	"samphirewell/internal/speed"
 )
 
 // speedTest is a leader with one run of 10 s on each of some workers, whose reports the test makes.
@@ -62,6 +63,17 @@
 	}
 }
 
+// addEarlierRuns makes the core learn from runs of earlier steps, one of each step on each worker.
+func (st *speedTest) addEarlierRuns(steps int) {
+	for n := range steps {
+		for w := range speedWorkers {
+			id := fmt.Sprintf("w0-%d", w)
+			st.c.speed.Observe(speed.Observation{Step: fmt.Sprint("earlier-", n), Queue: "batch", Run: fmt.Sprintf("earlier-%d-%d", n, w), Workers: []speed.Worker{{ID: id, Incarnation: st.c.workers[id].Incarnation}},
+				Expected: 10 * time.Second, Elapsed: time.Duration(st.factor(id) * float64(10*time.Second)), Progress: 1, Now: st.begin, Ended: true})
+		}
+	}
+}
+
 func (st *speedTest) slowness(worker int) float64 {
 	return st.c.slowness(st.c.workers[fmt.Sprintf("w0-%d", worker)])
 }
@@ -144,6 +156,7 @@
 // Guards against run times on slow workers that are taken for those on the mean worker.
 func TestRunTimeSamplesAreThoseOnTheMeanWorker(t *testing.T) {
 	st := newSpeedTest(t, noChange)
+	st.addEarlierRuns(3)
 	for at := time.Second; at <= 6*time.Second; at += time.Second {
 		st.report(at, 0)
 	}
@@ -194,6 +207,7 @@
 	log := logrus.New()
 	log.SetOutput(&text)
 	st.c.log = log
+	st.addEarlierRuns(3)
 	for at := time.Second; at <= 8*time.Second; at += time.Second {
 		st.report(at, 0)
 	}
--- a/internal/speed/model.go
+++ b/internal/speed/model.go
@@ -48,6 +48,11 @@
 // worker, Mean is 1.
 type Estimate struct{ Mean, Low, High float64 }
 
+// CertainlyDiffers reports whether a factor is more than two standard deviations away from the estimate.
+func (e Estimate) CertainlyDiffers(factor float64) bool {
+	return e.Mean*square(e.Low/e.Mean) > factor || e.Mean*square(e.High/e.Mean) < factor
+}
+
 // Worker identifies one incarnation of a worker.
 type Worker struct {
 	ID          string
