Model workers of different speeds in the fleet model

Cause: the fleet model knows one kind of slow workers and no long tasks, so it can't show how well speeds are learned.

Change: scenarios have speeds (factors of the run time, given to workers at random by the seed), a tail of run times, a number of failure domains and of workers, and the time between reports; the policy speed-oracle sets the true speeds; results have the quality of the estimates by time after the begin of each leader.

--- a/internal/bench/fleetmodel/arrivals.go
+++ b/internal/bench/fleetmodel/arrivals.go
@@ -76,11 +76,20 @@
 	}
 	a := arrival{classIndex: class, arrivedAt: at, poison: rng.Float64() < c.PoisonShare}
 	meanRunTime := c.RunS.draw(rng)
-	longestRunTime := 0.0
+	tail := func(runTime float64) float64 {
+		if c.TailShare > 0 && rng.Float64() < c.TailShare {
+			return c.TailFactor * runTime
+		}
+		return runTime
+	}
+	longestRunTime, gangRunTime := 0.0, 0.0
+	if step.Gang {
+		gangRunTime = tail(meanRunTime)
+	}
 	for range step.Tasks {
-		runTime := meanRunTime
+		runTime := gangRunTime
 		if !step.Gang {
-			runTime = LogNormal{Mean: meanRunTime, Sigma: c.UnevenShare, Max: c.RunS.Max}.draw(rng)
+			runTime = tail(LogNormal{Mean: meanRunTime, Sigma: c.UnevenShare, Max: c.RunS.Max}.draw(rng))
 		}
 		longestRunTime = max(longestRunTime, runTime)
 		a.taskRunTimes = append(a.taskRunTimes, seconds(runTime))
--- a/internal/bench/fleetmodel/measure.go
+++ b/internal/bench/fleetmodel/measure.go
@@ -8,7 +8,7 @@
 
 // result computes the result of a simulation that has ended.
 func (sim *simulation) result(s *Scenario) Result {
-	out := Result{Busy: sim.busyDuringArrivals / (s.LengthS * s.capacity()), Starts: sim.fleet.starts, Stops: sim.fleet.stops, Plan: sim.planTime}
+	out := Result{Busy: sim.busyDuringArrivals / (s.LengthS * s.capacity()), Starts: sim.fleet.starts, Stops: sim.fleet.stops, Plan: sim.planTime, Speeds: sim.speeds}
 	if sim.fleet.busy > 0 {
 		out.Lost = sim.fleet.lost / sim.fleet.busy
 	}
@@ -27,8 +27,7 @@
 // capacity returns the capacity of the fleet in core equivalents.
 func (s *Scenario) capacity() float64 {
 	f := &s.Fleet
-	workers := float64(f.Racks * f.WorkersPerRack)
-	return workers * (float64(f.MilliCores)/1000 + acceleratorCores*float64(f.Accelerators))
+	return float64(s.workers()) * (float64(f.MilliCores)/1000 + acceleratorCores*float64(f.Accelerators))
 }
 
 // acceleratorCores is the number of cores that an accelerator counts for. The users specify it; package batch has the same number.
--- a/internal/bench/fleetmodel/play.go
+++ b/internal/bench/fleetmodel/play.go
@@ -36,6 +36,7 @@
 	Starts  int           // runs started
 	Stops   int           // runs stopped by orders
 	Plan    time.Duration // processor time of the decisions
+	Speeds  []SpeedQuality
 }
 
 // ClassResult is the result of a class. Jobs that are cancelled or fail on every worker are not counted.
@@ -77,6 +78,8 @@
 	policy             Policy
 	core               *dispatch.Core // nil while no host leads
 	leaderEpoch        uint64
+	leadingSince       time.Duration
+	speeds             []SpeedQuality
 	storedRows         map[rowstore.Key]rowstore.Row
 	jobs               []arrival
 	nextArrival        int // index in jobs
@@ -99,6 +102,7 @@
 	if sim.core != nil {
 		sim.decide()
 	}
+	sim.measureSpeeds()
 	if f.now <= seconds(f.scenario.LengthS) {
 		sim.busyDuringArrivals = f.busy
 	}
@@ -122,7 +126,8 @@
 	sim.leaderEpoch++
 	sim.core = dispatch.New(sim.leaderEpoch, s.batchPolicy(), dispatch.Bounds{LeaseMax: seconds(s.Fleet.LeaseMaxS), StopMax: seconds(s.Fleet.StopMaxS), FarFactor: s.Fleet.FarFactor}, log)
 	sim.core.SetWorkers(sim.fleet.batchWorkers(), now)
-	sim.policy.configure(sim.core, sim.jobs)
+	sim.policy.configure(sim.core, sim)
+	sim.leadingSince = now
 	var states, tasks []rowstore.Row
 	for _, key := range slices.SortedFunc(maps.Keys(sim.storedRows), func(a, b rowstore.Key) int { return cmp.Compare(a.Key, b.Key) }) {
 		if key.Table == dispatch.TableStates {
@@ -193,9 +198,12 @@
 
 // renewLeases sends the due renewals to the workers and passes their reports to the leader.
 func (sim *simulation) renewLeases() {
-	now := sim.fleet.now
+	now, interval := sim.fleet.now, renewalInterval
+	if s := sim.fleet.scenario.Fleet.ReportS; s > 0 {
+		interval = seconds(s)
+	}
 	for _, w := range sim.fleet.workers {
-		if len(w.pendingEnds) == 0 && now-w.lastRenewal < renewalInterval {
+		if len(w.pendingEnds) == 0 && now-w.lastRenewal < interval {
 			continue
 		}
 		if renewal, ok := sim.core.NextRenewal(w.ID, now); ok {
--- a/internal/bench/fleetmodel/policy.go
+++ b/internal/bench/fleetmodel/policy.go
@@ -13,16 +13,17 @@
 // Policy is a scheduling policy, which configure sets in the decision core.
 type Policy struct {
 	Name      string
-	configure func(c *dispatch.Core, jobs []arrival)
+	configure func(c *dispatch.Core, sim *simulation)
 }
 
 // Policies returns the policies that can be compared; the first one is the product's own.
 func Policies() []Policy {
 	return []Policy{
-		{"product", func(*dispatch.Core, []arrival) {}},
-		{"fcfs-first-fit", func(c *dispatch.Core, _ []arrival) { c.SetPlanner(fcfsFirstFit) }},
-		{"best-fit-backfill", func(c *dispatch.Core, _ []arrival) { c.SetPlanner(bestFitBackfill) }},
-		{"oracle", func(c *dispatch.Core, jobs []arrival) { c.SetRunTimes(trueRunTimes(jobs)) }},
+		{"product", func(*dispatch.Core, *simulation) {}},
+		{"fcfs-first-fit", func(c *dispatch.Core, _ *simulation) { c.SetPlanner(fcfsFirstFit) }},
+		{"best-fit-backfill", func(c *dispatch.Core, _ *simulation) { c.SetPlanner(bestFitBackfill) }},
+		{"oracle", func(c *dispatch.Core, sim *simulation) { c.SetRunTimes(trueRunTimes(sim.jobs)) }},
+		{"speed-oracle", func(c *dispatch.Core, sim *simulation) { c.SetSlowness(sim.fleet.slowness) }},
 	}
 }
 
--- a/internal/bench/fleetmodel/report.go
+++ b/internal/bench/fleetmodel/report.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math"
+	"strconv"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -145,7 +146,7 @@
 
 func ratio(n, of int) float64 { return float64(n) / float64(max(1, of)) }
 
-// Write prints a table by policy and a table by class and policy.
+// Write prints a table by policy, a table by class and policy, and for workers of different speeds a table of the estimates of their speeds.
 func (r Report) Write(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	seeds := 0
@@ -153,7 +154,7 @@
 		seeds = len(r.Outcomes[0].Results)
 	}
 	_, err := fmt.Fprintf(w, "%s: %d workers, %.0f s of arrivals, %d seeds; means with 95%% confidence ranges\n\n",
-		r.Scenario.Name, r.Scenario.Fleet.Racks*r.Scenario.Fleet.WorkersPerRack, r.Scenario.LengthS, seeds)
+		r.Scenario.Name, r.Scenario.workers(), r.Scenario.LengthS, seeds)
 	line := func(cells ...string) {
 		for _, c := range cells {
 			if err == nil {
@@ -191,6 +192,16 @@
 			line(cells...)
 		}
 	}
+	if len(r.Scenario.Fleet.Speeds) > 0 {
+		line()
+		line("leader", "policy", "after s", "known", "right side", "log error")
+		for _, o := range r.Outcomes {
+			for i, q := range o.Results[0].Speeds {
+				line(strconv.FormatUint(q.Leader, 10), o.Policy, strconv.FormatFloat(q.AfterS, 'f', -1, 64), o.EstimateOf(func(x Result) float64 { return x.Speeds[i].Known }).String(),
+					o.EstimateOf(func(x Result) float64 { return x.Speeds[i].Right }).String(), o.EstimateOf(func(x Result) float64 { return x.Speeds[i].LogError }).String())
+			}
+		}
+	}
 	if err != nil {
 		return errors.WithStack(err)
 	}
--- a/internal/bench/fleetmodel/scenario.go
+++ b/internal/bench/fleetmodel/scenario.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 
 	"github.com/pkg/errors"
 	"github.com/tailscale/hujson"
@@ -24,10 +25,12 @@
 	Takeovers []Takeover `json:"takeovers"`
 }
 
-// Fleet describes the workers, which are equal except that some are slow, and the limits of leases and stops.
+// Fleet describes the workers, which are equal except for their speed, and the limits of leases and stops.
 type Fleet struct {
 	Racks          int     `json:"racks"`
 	WorkersPerRack int     `json:"workersPerRack"`
+	Workers        int     `json:"workers"` // if above 0, the last rack has fewer workers, so that these are all
+	Domains        int     `json:"domains"` // failure domains; 0 means 3
 	MilliCores     int     `json:"milliCores"`
 	MemoryMB       int     `json:"memoryMB"`
 	Accelerators   int     `json:"accelerators"`
@@ -38,6 +41,9 @@
 	StopMaxS       float64 `json:"stopMaxS"`
 	SlowEvery      int     `json:"slowEvery"`  // every SlowEvery-th worker is slow; 0 means none
 	SlowFactor     float64 `json:"slowFactor"` // run time on a slow worker relative to that on the others
+	// Speeds are factors of the run time. Each is that of an equal part of the workers, chosen at random.
+	Speeds  []float64 `json:"speeds"`
+	ReportS float64   `json:"reportS"` // seconds between two reports of a worker on which no run ends; 0 means 0.5
 }
 
 // LogNormal is a log-normal distribution with an upper bound.
@@ -71,6 +77,8 @@
 	EstimateOff     float64   `json:"estimateOff"` // standard deviation of the logarithm of the ratio of estimated to true run time
 	CancelShare     float64   `json:"cancelShare"` // share of jobs that their callers cancel within the objective
 	UnevenShare     float64   `json:"unevenShare"` // standard deviation of the logarithm of the run times of a job's tasks, except in gangs
+	TailShare       float64   `json:"tailShare"`   // share of the tasks, and of the gangs as a whole, that take TailFactor times as long
+	TailFactor      float64   `json:"tailFactor"`
 }
 
 // Team has a share of the jobs and a guarantee.
@@ -123,10 +131,17 @@
 		return errors.New("scenario: lengthS must be a positive number of seconds")
 	case s.Fleet.Racks < 1 || s.Fleet.WorkersPerRack < 1 || s.Fleet.MilliCores < 1 || s.Fleet.LeaseMaxS <= 0:
 		return errors.New("scenario: racks, workersPerRack and milliCores of the fleet must be at least 1, and leaseMaxS must be a positive number of seconds")
+	case s.Fleet.Workers < 0 || s.Fleet.Workers > s.Fleet.Racks*s.Fleet.WorkersPerRack || s.Fleet.Domains < 0 || s.Fleet.ReportS < 0:
+		return errors.New("scenario: workers must not exceed racks times workersPerRack, and workers, domains and reportS must not be negative")
+	case slices.ContainsFunc(s.Fleet.Speeds, func(f float64) bool { return f <= 0 }):
+		return errors.New("scenario: speeds must be positive factors of the run time")
 	case len(s.Classes) == 0 || len(s.Teams) == 0:
 		return errors.New("scenario: classes and teams must not be empty")
 	}
 	for _, c := range s.Classes {
+		if c.TailShare > 0 && c.TailFactor <= 0 {
+			return errors.Errorf("scenario: class %q needs a positive tailFactor", c.Name)
+		}
 		if c.PerSecond < 0 || c.RunS.Mean <= 0 || c.Tasks.Mean < 1 || c.Attempts < 1 || len(c.Accelerators) == 0 {
 			return errors.Errorf("scenario: class %q needs perSecond >= 0, runS.mean > 0, tasks.mean >= 1, attempts >= 1 and a list of accelerators that is not empty", c.Name)
 		}
@@ -144,6 +159,14 @@
 	return nil
 }
 
+// workers returns the number of workers.
+func (s *Scenario) workers() int {
+	if s.Fleet.Workers > 0 {
+		return s.Fleet.Workers
+	}
+	return s.Fleet.Racks * s.Fleet.WorkersPerRack
+}
+
 func (s *Scenario) hasClass(name string) bool {
 	for _, c := range s.Classes {
 		if c.Name == name {
--- a/internal/bench/fleetmodel/worker.go
+++ b/internal/bench/fleetmodel/worker.go
@@ -64,22 +64,43 @@
 	for i := range jobs {
 		f.jobs[jobs[i].job.ID] = &jobs[i]
 	}
+	domains := s.Fleet.Domains
+	if domains == 0 {
+		domains = 3
+	}
 	for r := range s.Fleet.Racks {
-		for i := range s.Fleet.WorkersPerRack {
+		for i := range min(s.Fleet.WorkersPerRack, s.workers()-len(f.workers)) {
 			w := &worker{fleet: f, runs: map[string]*run{}, speed: 1}
 			if n := len(f.workers) + 1; s.Fleet.SlowEvery > 0 && n%s.Fleet.SlowEvery == 0 {
 				w.speed = 1 / s.Fleet.SlowFactor
 			}
-			w.Worker = batch.Worker{ID: "w" + strconv.Itoa(r) + "-" + strconv.Itoa(i), Service: serviceName, Address: "model:1", Domain: "d" + strconv.Itoa(r%3),
+			w.Worker = batch.Worker{ID: "w" + strconv.Itoa(r) + "-" + strconv.Itoa(i), Service: serviceName, Address: "model:1", Domain: "d" + strconv.Itoa(r%domains),
 				Rack: rackName(r), Labels: []string{"a", rackName(r)}, Incarnation: 1,
 				Capacity: batch.Resources{MilliCores: s.Fleet.MilliCores, MemoryMB: s.Fleet.MemoryMB, Accelerators: s.Fleet.Accelerators}}
 			f.workers = append(f.workers, w)
 			f.byID[w.ID] = w
 		}
 	}
+	if n := len(s.Fleet.Speeds); n > 0 {
+		for i, at := range rand.New(rand.NewPCG(seed, 1<<34)).Perm(len(f.workers)) {
+			f.workers[at].speed /= s.Fleet.Speeds[i%n]
+		}
+	}
 	return f
 }
 
+// slowness returns the true factor of the run times on a worker relative to the mean worker.
+func (f *fleet) slowness(id string) float64 { return 1 / f.byID[id].speed / f.meanFactor() }
+
+// meanFactor returns the mean factor of the run times on the workers.
+func (f *fleet) meanFactor() float64 {
+	sum := 0.0
+	for _, w := range f.workers {
+		sum += 1 / w.speed
+	}
+	return sum / float64(len(f.workers))
+}
+
 func (f *fleet) batchWorkers() []batch.Worker {
 	out := make([]batch.Worker, len(f.workers))
 	for i, w := range f.workers {
