Use the ends of short runs on workers that were idle

Cause: an end was left out if the worker's last report was more than 2.5 s old. An idle worker isn't read, so that the first run on it showed nothing if it ended before its first report.

Change: the time since the start of the run counts, too.

--- a/internal/dispatch/workerspeed.go
+++ b/internal/dispatch/workerspeed.go
@@ -12,8 +12,8 @@
 const (
 	// loggedSlownessChange is the least factor by which the estimate of a worker changes between two log lines about it.
 	loggedSlownessChange = 1.5
-	// lateEndMargin is how much longer than a renewal the time between two reports of a worker may be, so that the end of a run that the second one lists
-	// is recent.
+	// lateEndMargin is how much longer than a renewal the time between two reports of a worker, or since the start of a run, may be, so that the end of the run
+	// that the second one lists is recent.
 	lateEndMargin = 500 * time.Millisecond
 )
 
@@ -95,7 +95,7 @@
 	}
 	end := speed.Observation{Now: now, Ended: true}
 	w := c.workers[t.worker]
-	if start := g.progressFrom; o == outcomeDone && w != nil && w.reportGap <= renewalWait+lateEndMargin && c.showsSpeed(g) {
+	if start := g.progressFrom; o == outcomeDone && w != nil && min(w.reportGap, now-t.startedAt) <= renewalWait+lateEndMargin && c.showsSpeed(g) {
 		if start.run != g.run && !t.inherited && !t.resumed {
 			start = c.progressStart(t, now) // it ended before its first report
 		}
--- a/internal/dispatch/workerspeed_test.go
+++ b/internal/dispatch/workerspeed_test.go
@@ -153,6 +153,25 @@
 	must.Between(t, 0.85, st.slowness(0), 1.15)
 }
 
+// Guards against short runs on workers that were idle before, whose only report is that of their end, and which show nothing; and against ends that are reported
+// after a network partition, and make their worker seem slow.
+func TestEndsShowSpeedUnlessReportedLate(t *testing.T) {
+	st := newSpeedTest(t, noChange)
+	end := func(worker int, at, gap time.Duration) {
+		st.s.fleet.now = st.begin + at
+		w, run := st.s.fleet.workers[fmt.Sprintf("w0-%d", worker)], st.task(worker)
+		st.c.workers[w.ID].lastContact = st.s.fleet.now - gap
+		w.endCount++
+		st.c.OnReport(w.ID, WorkerReport{Incarnation: w.Incarnation, Clock: w.clock(),
+			Ended: []EndReport{{N: w.endCount, Task: run.name, Run: run.group.run, Kind: EndDone}}}, st.s.fleet.now, st.s.fleet.now)
+	}
+	unknown := st.c.Slowness("w0-0")
+	end(0, 2*time.Second, time.Minute)
+	must.Less(t, unknown.High/unknown.Low, st.c.Slowness("w0-0").High/st.c.Slowness("w0-0").Low)
+	end(1, 9*time.Second, 5*time.Second)
+	must.Eq(t, unknown.High/unknown.Low, st.c.Slowness("w0-1").High/st.c.Slowness("w0-1").Low)
+}
+
 // Guards against run times on slow workers that are taken for those on the mean worker.
 func TestRunTimeSamplesAreThoseOnTheMeanWorker(t *testing.T) {
 	st := newSpeedTest(t, noChange)
