--- a/internal/dispatch/workerspeed.go
+++ b/internal/dispatch/workerspeed.go
@@ -12,8 +12,8 @@
 const (
 	// loggedSlownessChange is the least factor by which the estimate of a worker changes between two log lines about it.
 	loggedSlownessChange = 1.5
-	// lateEndMargin is how much longer than a renewal the time between two reports of a worker may be, so that the end of a run that the second one lists
-	// is recent.
+	// lateEndMargin is how much longer than a renewal the time between two reports of a worker, or since the start of a run, may be, so that the end of the run
+	// that the second one lists is recent.
 	lateEndMargin = 500 * time.Millisecond
 )
 
@@ -59,7 +59,7 @@
 		if w := c.workers[t.worker]; w != nil {
 			if c.trueSlowness != nil {
 				factor = c.trueSlowness(w.ID)
-			} else if e := c.speed.Lasting(w.ID, w.Incarnation); e.Low > 1 || e.High < 1 {
+			} else if e := c.speed.Lasting(w.ID, w.Incarnation); e.CertainlyDiffers(1) {
 				factor = e.Mean
 			}
 		}
@@ -99,7 +99,7 @@
 	}
 	end := speed.Observation{Now: now, Ended: true}
 	w := c.workers[t.worker]
-	if start := g.progressFrom; o == outcomeDone && w != nil && w.reportGap <= renewalWait+lateEndMargin && c.showsSpeed(g) {
+	if start := g.progressFrom; o == outcomeDone && w != nil && min(w.reportGap, now-t.startedAt) <= renewalWait+lateEndMargin && c.showsSpeed(g) {
 		if start.run != g.run && !t.inherited && !t.resumed {
 			start = c.progressStart(t, now) // it ended before its first report
 		}
@@ -163,7 +163,7 @@
 	if before == 0 {
 		before = 1
 	}
-	if certain := e.Low > before || e.High < before; !certain || e.Mean < loggedSlownessChange*before && before < loggedSlownessChange*e.Mean {
+	if !e.CertainlyDiffers(before) || e.Mean < loggedSlownessChange*before && before < loggedSlownessChange*e.Mean {
 		return
 	}
 	w.loggedSlowness = e.Mean
--- a/internal/dispatch/workerspeed_test.go
+++ b/internal/dispatch/workerspeed_test.go
@@ -12,6 +12,7 @@
 
 	"samphirewell/internal/batch"
 	"samphirewell/internal/runtimes"
+	"samphirewell/internal/speed"
 )
 
 // speedTest is a leader with one run of 10 s on each of some workers, whose reports the test makes.
@@ -63,6 +64,17 @@
 	}
 }
 
+// addEarlierRuns makes the core learn from runs of earlier steps, one of each step on each worker.
+func (st *speedTest) addEarlierRuns(steps int) {
+	for n := range steps {
+		for w := range speedWorkers {
+			id := fmt.Sprintf("w0-%d", w)
+			st.c.speed.Observe(speed.Observation{Step: fmt.Sprint("earlier-", n), Queue: "batch", Run: fmt.Sprintf("earlier-%d-%d", n, w), Workers: []speed.Worker{{ID: id, Incarnation: st.c.workers[id].Incarnation}},
+				Expected: 10 * time.Second, Elapsed: time.Duration(st.factor(id) * float64(10*time.Second)), Progress: 1, Now: st.begin, Ended: true})
+		}
+	}
+}
+
 func (st *speedTest) slowness(worker int) float64 {
 	return st.c.slowness(st.c.workers[fmt.Sprintf("w0-%d", worker)])
 }
@@ -142,9 +154,29 @@
 	must.Between(t, 0.85, st.slowness(0), 1.15)
 }
 
+// Guards against short runs on workers that were idle before, whose only report is that of their end, and which show nothing; and against ends that are reported
+// after a network partition, and make their worker seem slow.
+func TestEndsShowSpeedUnlessReportedLate(t *testing.T) {
+	st := newSpeedTest(t, noChange)
+	end := func(worker int, at, gap time.Duration) {
+		st.s.fleet.now = st.begin + at
+		w, run := st.s.fleet.workers[fmt.Sprintf("w0-%d", worker)], st.task(worker)
+		st.c.workers[w.ID].lastContact = st.s.fleet.now - gap
+		w.endCount++
+		st.c.OnReport(w.ID, WorkerReport{Incarnation: w.Incarnation, Clock: w.clock(),
+			Ended: []EndReport{{N: w.endCount, Task: run.name, Run: run.group.run, Kind: EndDone}}}, st.s.fleet.now, st.s.fleet.now)
+	}
+	unknown := st.c.Slowness("w0-0")
+	end(0, 2*time.Second, time.Minute)
+	must.Less(t, unknown.High/unknown.Low, st.c.Slowness("w0-0").High/st.c.Slowness("w0-0").Low)
+	end(1, 9*time.Second, 5*time.Second)
+	must.Eq(t, unknown.High/unknown.Low, st.c.Slowness("w0-1").High/st.c.Slowness("w0-1").Low)
+}
+
 // Guards against run times on slow workers that are taken for those on the mean worker.
 func TestRunTimeSamplesAreThoseOnTheMeanWorker(t *testing.T) {
 	st := newSpeedTest(t, noChange)
+	st.addEarlierRuns(3)
 	for at := time.Second; at <= 6*time.Second; at += time.Second {
 		st.report(at, 0)
 	}
@@ -195,6 +227,7 @@
 	log := logrus.New()
 	log.SetOutput(&text)
 	st.c.log = log
+	st.addEarlierRuns(3)
 	for at := time.Second; at <= 8*time.Second; at += time.Second {
 		st.report(at, 0)
 	}
