Place by speed only where some objective can't be met on slow workers

One worker that is slow for some seconds made all work compete for the fast ones. Change: the speed of workers counts only if one of them is certainly too slow for the tightest stretch of the queues. Patient work is recognised by the 80th percentile of the slowness, and workers on which it misses its objective come last.

--- a/internal/dispatch/slownesslimit.go
+++ b/internal/dispatch/slownesslimit.go
@@ -20,14 +20,26 @@
 	speedProbeShare = 0.1
 )
 
-// addSlowness sets the slowness of the workers if they certainly differ, and marks those of which it should be learned.
+// tightestStretch returns the lowest stretch of the queues, +Inf if none has one.
+func (c *Core) tightestStretch() float64 {
+	tightest := math.Inf(1)
+	for i := range c.policy.Queues {
+		if s := c.policy.Queues[i].Stretch; s > 0 {
+			tightest = min(tightest, s)
+		}
+	}
+	return tightest
+}
+
+// addSlowness sets the slowness of the workers if some are certainly too slow for the tightest objective, and marks those of which it should be learned.
+// Otherwise speed decides nothing: keeping work off slower workers on which it is in time only costs waits and preemptions.
 func (c *Core) addSlowness(in *planInput) {
 	estimates := make([]speed.Estimate, len(in.workers))
 	for i, w := range in.workers {
 		estimates[i] = c.Slowness(w.ID)
 	}
 	in.fastest = 1
-	if !speed.Fleet(estimates) {
+	if speed.BoundUncertainty(estimates) < slownessSafety*c.tightestStretch() {
 		return
 	}
 	in.fastest = math.Inf(1)
--- a/internal/placement/fit.go
+++ b/internal/placement/fit.go
@@ -164,7 +164,7 @@
 	preference := p.speedPreference(r)
 	slices.SortFunc(candidates, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(p.workers[a.worker].HealthPenalty, p.workers[b.worker].HealthPenalty),
-			p.compareSpeed(preference, a.worker, b.worker), cmp.Compare(a.leftover, b.leftover), cmp.Compare(a.worker, b.worker))
+			p.compareSpeed(r, preference, a.worker, b.worker), cmp.Compare(a.leftover, b.leftover), cmp.Compare(a.worker, b.worker))
 	})
 	out := make([]int, 0, count)
 	if preference == slowestFirst && !r.Gang && kind == freeCapacity {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -149,7 +149,7 @@
 	ample              bool          // capacity is ample
 	ampleFor           time.Duration // how long it has been
 	slownessClass      []int         // of each worker
-	slowest            float64       // slowness of the slowest usable worker
+	slow               float64       // slowness that counts as that of the slow usable workers, see slowQuantile
 	uneven             bool          // usable workers differ in speed
 	speedProbes        int           // see Input.SpeedProbes
 	decision           Decision
--- a/internal/placement/slowness.go
+++ b/internal/placement/slowness.go
@@ -9,9 +9,12 @@
 const (
 	// slownessStep is the ratio of slowness within which workers count as equally fast, so that best fit decides between them.
 	slownessStep = 1.25
-	// tightMargin is how many times as slow as the slowest worker a request has to tolerate to be placed on slow workers first. It covers the errors of
+	// tightMargin is how many times as slow as the slow workers a request has to tolerate to be placed on slow workers first. It covers the errors of
 	// estimated run times.
 	tightMargin = 1.25
+	// slowQuantile is the quantile of the slowness of the workers that counts as that of the slow ones. Workers beyond it, such as those that are slowed down
+	// for some seconds, are judged one by one.
+	slowQuantile = 0.8
 )
 
 // slowness is the factor by which run times on the worker differ from those on the mean worker.
@@ -32,16 +35,20 @@
 
 // indexSlowness classifies the workers by their slowness.
 func (p *planner) indexSlowness() {
-	lowest, highest := math.Inf(1), 0.0
 	p.slownessClass = make([]int, len(p.workers))
+	var usable []float64
 	for i := range p.workers {
-		if !p.workers[i].Usable {
-			continue
-		}
 		p.slownessClass[i] = p.workers[i].slownessClass()
-		lowest, highest = min(lowest, p.workers[i].slowness()), max(highest, p.workers[i].slowness())
+		if p.workers[i].Usable {
+			usable = append(usable, p.workers[i].slowness())
+		}
+	}
+	if len(usable) == 0 {
+		return
 	}
-	p.slowest, p.uneven = highest, highest > lowest*slownessStep
+	slices.Sort(usable)
+	p.slow = usable[int(math.Ceil(slowQuantile*float64(len(usable)-1)))]
+	p.uneven = usable[len(usable)-1] > usable[0]*slownessStep
 }
 
 // speedPreference is which workers a request gets first.
@@ -53,23 +60,39 @@
 	slowestFirst speedPreference = -1
 )
 
-// speedPreference returns slowestFirst for a request that meets its objective on every worker, so that fast workers stay free for requests that need
+// speedPreference returns slowestFirst for a request that meets its objective on the slow workers, so that fast workers stay free for requests that need
 // them, and fastestFirst for one that doesn't.
 func (p *planner) speedPreference(r *Request) speedPreference {
 	switch {
 	case !p.uneven || r.SlownessLimit <= 0:
 		return anySpeed
-	case r.SlownessLimit < p.slowest*tightMargin:
+	case r.SlownessLimit < p.slow*tightMargin:
 		return fastestFirst
 	}
 	return slowestFirst
 }
 
-// compareSpeed orders workers by the preference of a request.
-func (p *planner) compareSpeed(preference speedPreference, a, b int) int {
+// compareSpeed orders workers by the preference of a request. Workers on which it misses its objective come last.
+func (p *planner) compareSpeed(r *Request, preference speedPreference, a, b int) int {
+	if preference == slowestFirst {
+		if c := compareBool(p.workers[a].slowness() > r.SlownessLimit, p.workers[b].slowness() > r.SlownessLimit); c != 0 {
+			return c
+		}
+	}
 	return int(preference) * cmp.Compare(p.slownessClass[a], p.slownessClass[b])
 }
 
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
 // slowestNeeded returns the slowness class of the slowest worker that count tasks of the request get on a rack that has sufficient capacity, if the fastest
 // workers are used.
 func (p *planner) slowestNeeded(r *Request, rack []int, count int, kind capacityKind) int {
--- a/internal/speed/fleet.go
+++ b/internal/speed/fleet.go
@@ -3,8 +3,6 @@
 import "math"
 
 const (
-	// minUnevenness is the least ratio of the speeds of two workers, beyond the uncertainty of both, from which a fleet is uneven.
-	minUnevenness = 1.2
 	// knownWithin is the largest factor between Mean and High of a worker whose speed is known.
 	knownWithin = 1.2
 	// minKnown is the number of workers of known speed from which their spread says something of the others.
@@ -19,16 +17,15 @@
 	return Estimate{e.Mean, max(e.Low, e.Mean/spread), min(e.High, e.Mean*spread)}
 }
 
-// Fleet bounds the uncertainty of the estimates of a fleet by the spread of the workers of known speed: a fleet whose known workers hardly differ has few
-// unknown ones that do. It reports whether two of the workers certainly differ.
-func Fleet(estimates []Estimate) (uneven bool) {
+// BoundUncertainty bounds the uncertainty of the estimates of a fleet by the spread of the workers of known speed: a fleet whose known workers hardly differ
+// has few unknown ones that do. It returns the largest lower end of the estimates.
+func BoundUncertainty(estimates []Estimate) (slowest float64) {
 	spread := spreadOf(estimates)
-	fastest, slowest := math.Inf(1), 0.0
 	for i, e := range estimates {
 		estimates[i] = e.bounded(spread)
-		fastest, slowest = min(fastest, estimates[i].High), max(slowest, estimates[i].Low)
+		slowest = max(slowest, estimates[i].Low)
 	}
-	return slowest >= minUnevenness*fastest
+	return slowest
 }
 
 // spreadOf returns the factor of one standard deviation of the slowness of the workers of known speed, +Inf while too few are known.
