Bound the memory and connections that clients can take

Cause: nbhttp's parser keeps headers and trailers of any number of lines, notices a body over the limit only when it is complete, and has no write deadline; each connection had its own limit of 1 MiB, and the time limit of 5 s began anew with each read. The port for other hosts allocated a message of up to 1 MiB and a compressor of several hundred KB for anybody.

Change: - internal/httpserve counts header bytes, header lines, empty lines and body bytes of each request and refuses with 431 or 413, or closes, before the request runs. The memory of all requests comes from one budget; without memory 429. A request has 5 s in all, a response 5 s to be read. The parser gets one request at a time: the bytes after it come back by the parser's ParserCloser. - At the bound of connections accepting pauses, and the connection that is cheapest to close makes room: idle, then slowly arriving, then with unread responses. - Buffers of the system are bounded to 32 KiB in each direction, so that unread responses stop the process from producing more. - While the runtime's memory is above 0.7 of memory_mb, requests begin at most 0.2 s later, until the garbage collector has caught up. - internal/peer reads at most 4 KiB before hello, waits 5 s for it, takes the memory of a message as it arrives, and bounds its connections. - Metrics count refusals by kind, and one log line a second names the counts. - Empty lines before a request are ignored up to 16 bytes; they closed the connection. - MaxBodyBytes of the configuration is enforced by the server (413); only 1 MiB was. - New of internal/httpserve takes Limits, so its tests state the limit of 1 KiB so.

--- a/internal/httpserve/httpserve.go
+++ b/internal/httpserve/httpserve.go
@@ -3,13 +3,10 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
@@ -20,17 +17,9 @@
 )
 
 const (
-	readBufferBytes = 4096
 	// idleTimeout is the time without a request after which a connection is closed. It exceeds the time between the requests of callers that
 	// reuse their connections.
 	idleTimeout = 60 * time.Second
-	// requestTimeout bounds the time that one request takes to arrive.
-	requestTimeout = 5 * time.Second
-	// maxHeaderBytes bounds the header of a request.
-	maxHeaderBytes = 16 << 10
-	// maxConnections bounds the connections of one server. It is below the number of file descriptors of the smallest hosts (4,100, of which
-	// 200 are for files).
-	maxConnections = 3000
 	// stopPollInterval is the interval at which Stop checks whether connections are open.
 	stopPollInterval = 5 * time.Millisecond
 	// stopReadTimeout is how long the rest of a request may take to arrive while the server stops; it covers a lost packet.
@@ -43,6 +32,7 @@
 // Server serves one address.
 type Server struct {
 	address     string
+	limits      Limits
 	engine      *nbhttp.Engine
 	log         logrus.FieldLogger
 	listener    net.Listener
@@ -51,17 +41,18 @@
 	requests    context.Context // of all requests
 	endRequests context.CancelFunc
 	active      atomic.Int64
+	broken      *reportLimiter // of log lines about broken connections
 
-	mu    sync.Mutex
-	conns map[*serverConn]struct{}
+	mu     sync.Mutex
+	conns  map[*serverConn]struct{}
+	closed chan struct{} // gets a value, if it has none, when a connection is closed
 }
 
-// New returns a server that does not listen yet. maxBody bounds the body of a request in bytes. The handler has to respond soon after the context of
-// its request has ended.
-func New(address string, maxBody int, handler http.Handler, log logrus.FieldLogger) *Server {
-	s := &Server{address: address, log: log, conns: map[*serverConn]struct{}{}}
+// New returns a server that does not listen yet. The handler has to respond soon after the context of its request has ended.
+func New(address string, limits Limits, handler http.Handler, log logrus.FieldLogger) *Server {
+	s := &Server{address: address, limits: limits.withDefaults(log), log: log, broken: &reportLimiter{}, conns: map[*serverConn]struct{}{}, closed: make(chan struct{}, 1)}
 	s.requests, s.endRequests = context.WithCancel(context.Background())
-	s.engine = nbhttp.NewEngine(nbhttp.Config{Name: address, Handler: s.wrap(handler), ReadLimit: maxBody + maxHeaderBytes, MaxHTTPBodySize: maxBody})
+	s.engine = nbhttp.NewEngine(nbhttp.Config{Name: address, Handler: s.wrap(handler)})
 	return s
 }
 
@@ -145,8 +136,8 @@
 	netconn.Accept(ln, func(err error, failures int) {
 		s.log.WithField("failures", failures).WithError(err).Warn("accept failed")
 	}, func(conn net.Conn) {
-		c := &serverConn{server: s, conn: conn}
-		if !s.track(c) {
+		c := newConn(s, conn)
+		if !s.awaitRoom(c) {
 			_ = conn.Close()
 			return
 		}
@@ -154,126 +145,58 @@
 	})
 }
 
-func (s *Server) track(c *serverConn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.stopping.Load() || len(s.conns) >= maxConnections {
-		return false
-	}
-	s.conns[c] = struct{}{}
-	return true
-}
-
-func (s *Server) untrack(c *serverConn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, c)
-}
-
-// serverConn is one connection. One goroutine reads from it and passes the bytes to nbhttp's parser, which calls the handler in the same
-// goroutine.
-type serverConn struct {
-	server         *Server
-	conn           net.Conn
-	requestStarted bool      // the first bytes of a request have arrived
-	handlerRunning bool      // the handler is running or has panicked
-	requests       int       // number of requests whose handler has returned
-	lastRequest    time.Time // when the handler last returned
-}
-
-// responseConn is the connection to which responses are written. It keeps the first error.
-type responseConn struct {
-	net.Conn
-	err error
-}
-
-// Write implements net.Conn.
-func (r *responseConn) Write(b []byte) (int, error) {
-	n, err := r.Conn.Write(b)
-	if r.err == nil {
-		r.err = err
-	}
-	return n, err
-}
-
-func (c *serverConn) loop() {
-	defer c.server.untrack(c)
-	defer c.conn.Close()
-	responses := &responseConn{Conn: c.conn}
-	parser := nbhttp.NewParser(responses, c.server.engine, nbhttp.NewServerProcessor(), false, c.execute)
-	defer parser.CloseAndClean(io.EOF)
-	buf := make([]byte, readBufferBytes)
+// awaitRoom waits until the server has room for the connection and adds it. While it waits, nothing is accepted, and the connection that is cheapest to
+// close makes room. It returns false if the server stops.
+func (s *Server) awaitRoom(c *serverConn) bool {
 	for {
-		n, err := c.read(buf)
-		if n > 0 {
-			c.requestStarted = true
-			if perr := parser.Parse(buf[:n]); perr != nil || c.handlerRunning {
-				c.server.log.WithField("caller", c.conn.RemoteAddr().String()).WithError(perr).Info("connection closed after a malformed request")
-				return
-			}
+		added, stopping := s.track(c)
+		if added || stopping {
+			return added
 		}
-		if err != nil {
-			c.logBroken(err, responses.err)
-			return
+		s.makeRoom()
+		select {
+		case <-s.closed:
+		case <-time.After(roomPollInterval):
 		}
 	}
 }
 
-// logBroken logs that a response could not be written, or that the connection was reset by the other end, which may not have read the last response.
-func (c *serverConn) logBroken(readErr, writeErr error) {
-	err := writeErr
-	if err == nil && errors.Is(readErr, syscall.ECONNRESET) {
-		err = readErr
+func (s *Server) track(c *serverConn) (added, stopping bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping.Load() {
+		return false, true
 	}
-	if err == nil || c.requests == 0 || errors.Is(err, net.ErrClosed) { // Stop closes connections too, and logs how many
-		return
+	if len(s.conns) >= s.limits.Connections {
+		return false, false
 	}
-	c.server.log.WithFields(logrus.Fields{"caller": c.conn.RemoteAddr().String(), "requests": c.requests,
-		"since_request_ms": time.Since(c.lastRequest).Milliseconds()}).WithError(err).Info("connection broken by the caller or the network")
+	s.conns[c] = struct{}{}
+	return true, false
 }
 
-// read reads the next bytes. It returns io.EOF if the server stops and no part of a request has arrived: closing the connection then loses no request
-// that was read.
-func (c *serverConn) read(buf []byte) (int, error) {
-	for {
-		stopping := c.server.stopping.Load()
-		end := time.Now().Add(c.readTimeout(stopping))
-		_ = c.conn.SetReadDeadline(end)
-		// Stop sets stopping before it ends the reads, so a read that begins before Stop is ended by it.
-		if stopping != c.server.stopping.Load() {
-			continue
-		}
-		if stopping && !c.requestStarted {
-			if _, received := netconn.CheckIdle(c.conn); !received {
-				return 0, io.EOF
-			}
-		}
-		n, err := c.conn.Read(buf)
-		if endedByStop := n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && time.Now().Before(end); !endedByStop {
-			return n, err
+// makeRoom ends the connection that is cheapest to close, if there is one.
+func (s *Server) makeRoom() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := sinceStart()
+	var victim *serverConn
+	best := evictionRank{}
+	for c := range s.conns {
+		if r := c.evictionRank(now); r.before(best) {
+			victim, best = c, r
 		}
 	}
-}
-
-func (c *serverConn) readTimeout(stopping bool) time.Duration {
-	switch {
-	case !c.requestStarted:
-		return idleTimeout
-	case stopping:
-		return stopReadTimeout
+	if victim != nil && victim.evict(best.phase) {
+		s.limits.Refusals.Add(kindConnections)
 	}
-	return requestTimeout
 }
 
-// execute runs the handler and writes its response. The parser calls it for each complete request.
-func (c *serverConn) execute(f func()) bool {
-	c.server.active.Add(1)
-	defer c.server.active.Add(-1)
-	c.handlerRunning = true
-	f()
-	c.handlerRunning = false
-	c.requestStarted = false
-	c.requests++
-	c.lastRequest = time.Now()
-	return true
+func (s *Server) untrack(c *serverConn) {
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	select {
+	case s.closed <- struct{}{}:
+	default:
+	}
 }
--- a/internal/httpserve/httpserve_test.go
+++ b/internal/httpserve/httpserve_test.go
@@ -20,7 +20,7 @@
 func start(t *testing.T, h http.HandlerFunc) *Server {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s := New("127.0.0.1:0", 1<<10, h, log)
+	s := New("127.0.0.1:0", Limits{MaxBody: func() int { return 1 << 10 }}, h, log)
 	must.NoError(t, s.Start())
 	return s
 }
@@ -199,7 +199,7 @@
 func TestBrokenConnectionsAreLogged(t *testing.T) {
 	log, hook := logtest.NewNullLogger()
 	entered := make(chan struct{}, 2)
-	s := New("127.0.0.1:0", 1<<10, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s := New("127.0.0.1:0", Limits{MaxBody: func() int { return 1 << 10 }}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		entered <- struct{}{}
 		echo(w, r)
 	}), log)
@@ -272,7 +272,7 @@
 	pausing := &pausingListener{ln, make(chan struct{}), make(chan struct{})}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	s := New("", 1<<10, h, log)
+	s := New("", Limits{MaxBody: func() int { return 1 << 10 }}, h, log)
 	s.serve(pausing)
 	return s, pausing
 }
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -8,6 +8,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,6 +34,7 @@
 // Budget is the memory for the unfinished requests of all connections. Its methods may be called concurrently.
 type Budget struct {
 	part, pool int64
+	scarce     atomic.Bool
 
 	mu        sync.Mutex
 	taken     int64 // from the pool
@@ -46,6 +48,13 @@
 	return &Budget{part: part, pool: pool, holders: map[*Account]struct{}{}}
 }
 
+// SetScarce states whether the process as a whole holds more memory than it should, whatever the accounts say: the garbage of requests that are served
+// quickly isn't in any account.
+func (b *Budget) SetScarce(scarce bool) { b.scarce.Store(scarce) }
+
+// Scarce returns whether requests should begin more slowly.
+func (b *Budget) Scarce() bool { return b.scarce.Load() }
+
 // Part returns what each account may always hold, in bytes.
 func (b *Budget) Part() int64 { return b.part }
 
@@ -66,6 +75,7 @@
 	refuse func()
 	part   int64 // of the budget, reached without a lock
 	shared int64 // the goroutine's copy of taken
+	runs   bool  // the goroutine's copy of running, which is set once the account holds a part of the pool
 
 	// Guarded by Budget.mu:
 	taken    int64
@@ -109,7 +119,7 @@
 func (b *Budget) hold(a *Account, need int64, r Request) (Result, *Account, <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	a.began, a.progress = r.Began, r.Progress
+	a.began, a.progress, a.running = r.Began, r.Progress, a.runs
 	switch {
 	case a.refused:
 		return Refused, nil, nil
@@ -179,17 +189,20 @@
 
 // Run states that the request is complete and is about to run. It returns false if the request has been refused in the meantime and must not run.
 func (a *Account) Run() bool {
+	a.runs = true
 	if a.shared == 0 {
 		return true // only accounts that hold a part of the pool are refused
 	}
 	a.budget.mu.Lock()
 	defer a.budget.mu.Unlock()
 	a.running = !a.refused
+	a.runs = a.running
 	return a.running
 }
 
 // Release states that the request has ended and holds nothing any more.
 func (a *Account) Release() {
+	a.runs = false
 	if a.shared == 0 {
 		return
 	}
--- a/internal/membudget/membudget_test.go
+++ b/internal/membudget/membudget_test.go
@@ -77,7 +77,9 @@
 				holders = append(holders, h)
 			}
 			asking := newHolder(b)
-			asking.running = c.asks.running
+			if c.asks.running {
+				must.True(t, asking.Run())
+			}
 			result := asking.hold(c.asks.granules, c.asks.progress, c.asks.began, now)
 			expected := Wait
 			switch c.victim {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -28,6 +28,13 @@
 	maxBackoff         = 2 * time.Second       // longest pause between two attempts to connect
 	idleLinkTimeout    = 60 * time.Second      // time without a call after which a connection is closed; hosts that work together call each other every few seconds
 	sweepsPerTimeout   = 4                     // how often connections are checked within the idle timeout
+	helloTimeout       = 5 * time.Second       // longest time from the opening of a connection to its hello
+	maxHelloBytes      = 4 << 10               // longest message before hello; hello takes some hundred bytes
+	shortMessageBytes  = 4 << 10               // longest message that is read without a deadline
+	messageTimeout     = 5 * time.Second       // longest time in which a longer message arrives
+	defaultConnections = 1024                  // open connections of a server without a limit of its own
+	roomPollInterval   = 50 * time.Millisecond // interval at which a server at its limit checks again whether a connection may be closed
+	minIdleTime        = 5 * time.Second       // shortest time without a request after which a connection may be closed in favour of a new one; working hosts call more often
 	maxUnansweredCalls = 4                     // consecutive calls without a response after which the connection is closed and opened again
 )
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,6 +8,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -19,43 +20,86 @@
 // discardLogger discards the library's log lines about broken connections; the counters show them.
 var discardLogger = log.New(io.Discard, "", 0)
 
+// processStart is the origin of the times of sessions, which don't follow changes of the wall clock.
+var processStart = time.Now()
+
 // Server serves requests of peers.
 type Server struct {
 	self    Identity
 	methods Registry
 	stats   *Stats
+	limit   int
+	evicted func()
 
 	mu     sync.Mutex
-	conns  map[*jsonrpc2.Conn]struct{}
+	conns  map[*jsonrpc2.Conn]*session
 	closed bool
 }
 
 // NewServer returns a server that serves the registered methods and hello.
 func NewServer(self Identity, methods Registry, stats *Stats) *Server {
-	return &Server{self: self, methods: methods, stats: stats, conns: map[*jsonrpc2.Conn]struct{}{}}
+	return &Server{self: self, methods: methods, stats: stats, limit: defaultConnections, evicted: func() {}, conns: map[*jsonrpc2.Conn]*session{}}
 }
 
+// Limit sets the largest number of open connections. At the limit, accepting pauses, and a connection without hello, or else the one that has been idle
+// for longest, is closed in favour of a new one; evicted is called for each. Limit is called before Serve.
+func (s *Server) Limit(connections int, evicted func()) { s.limit, s.evicted = connections, evicted }
+
 // Serve accepts connections until the listener is closed. See netconn.Accept on onError.
 func (s *Server) Serve(ln net.Listener, onError func(err error, failures int)) {
 	netconn.Accept(ln, onError, s.startSession)
 }
 
 func (s *Server) startSession(conn net.Conn) {
+	for !s.tryStartSession(conn) {
+		time.Sleep(roomPollInterval)
+	}
+}
+
+// tryStartSession returns false if there is no room for the connection yet.
+func (s *Server) tryStartSession(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		_ = conn.Close()
-		return
+		return true
 	}
-	session := &session{server: s}
-	c := jsonrpc2.NewConn(context.Background(), newStream(conn, s.stats), session, jsonrpc2.SetLogger(discardLogger))
-	s.conns[c] = struct{}{}
+	if len(s.conns) >= s.limit && !s.makeRoom() {
+		return false
+	}
+	stream := newStream(conn, s.stats)
+	stream.maxMessageBytes = maxHelloBytes
+	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
+	session := &session{server: s, stream: stream}
+	session.usedAt.Store(int64(time.Since(processStart)))
+	c := jsonrpc2.NewConn(context.Background(), stream, session, jsonrpc2.SetLogger(discardLogger))
+	s.conns[c] = session
 	go func() {
 		<-c.DisconnectNotify()
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
 	}()
+	return true
+}
+
+// makeRoom closes the connection that is cheapest to close. It returns false if there is none.
+func (s *Server) makeRoom() bool {
+	var victim *jsonrpc2.Conn
+	var chosen *session
+	idleBefore := int64(time.Since(processStart) - minIdleTime)
+	for c, candidate := range s.conns {
+		if candidate.mayBeClosed(idleBefore) && (chosen == nil || candidate.cheaperThan(chosen)) {
+			victim, chosen = c, candidate
+		}
+	}
+	if victim == nil {
+		return false
+	}
+	delete(s.conns, victim)
+	s.evicted()
+	go func() { _ = victim.Close() }() // it may wait for a write
+	return true
 }
 
 // Connections returns the number of open connections.
@@ -82,13 +126,28 @@
 // session handles the requests of one connection.
 type session struct {
 	server         *Server
+	stream         *stream
 	peerHost       atomic.Pointer[api.HostIdentity] // sender of hello; nil before hello
 	activeRequests atomic.Int64
+	usedAt         atomic.Int64 // when the last request began or the connection was opened, since processStart in nanoseconds
+}
+
+func (s *session) mayBeClosed(idleBefore int64) bool {
+	return s.peerHost.Load() == nil || s.activeRequests.Load() == 0 && s.usedAt.Load() < idleBefore
+}
+
+// cheaperThan returns whether closing the session costs less than closing the other one.
+func (s *session) cheaperThan(o *session) bool {
+	if unknown := s.peerHost.Load() == nil; unknown != (o.peerHost.Load() == nil) {
+		return unknown
+	}
+	return s.usedAt.Load() < o.usedAt.Load()
 }
 
 // Handle is called on the goroutine that reads the connection. It serves each request in its own goroutine, so that a key claim that
 // waits does not delay pings.
 func (s *session) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	s.usedAt.Store(int64(time.Since(processStart)))
 	if req.Method == MethodHello {
 		s.hello(ctx, conn, req)
 		return
@@ -118,6 +177,9 @@
 		reject(ctx, conn, req, codeVersion, "protocol versions differ")
 		return
 	}
+	// Handle is called on the goroutine that reads, so the next message is read with the new limits.
+	s.stream.maxMessageBytes = MaxMessageBytes
+	_ = s.stream.conn.SetReadDeadline(time.Time{})
 	s.peerHost.Store(&h.Host)
 	self := s.server.self
 	reply(ctx, conn, req, api.HelloResponse{ProtocolVersion: ProtocolVersion, Domain: self.Domain, Host: self.Host})
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -19,21 +19,21 @@
 // codecs of the library it checks the size of a message before it reads it. All messages of a direction share one compression
 // state, because heartbeats repeat their field names and ids and then compress to a fraction of their size.
 type stream struct {
-	conn  net.Conn
-	stats *Stats
+	conn            net.Conn
+	stats           *Stats
+	maxMessageBytes int // longest message that is read
 
 	compressedIn countingReader
 	decompressed *bufio.Reader // reads the decompressed bytes of compressedIn
 
-	compressedOut bytes.Buffer // compressed bytes of one message; the connection serializes writes
-	compressor    *flate.Writer
+	compressedOut bytes.Buffer  // compressed bytes of one message; the connection serializes writes
+	compressor    *flate.Writer // created by the first message, since it takes several hundred KB
 }
 
 func newStream(conn net.Conn, stats *Stats) *stream {
-	s := &stream{conn: conn, stats: stats}
+	s := &stream{conn: conn, stats: stats, maxMessageBytes: MaxMessageBytes}
 	s.compressedIn.r = bufio.NewReader(conn)
 	s.decompressed = bufio.NewReaderSize(flate.NewReader(&s.compressedIn), readBufferBytes)
-	s.compressor, _ = flate.NewWriter(&s.compressedOut, flate.BestSpeed) // fails only for an invalid level
 	return s
 }
 
@@ -90,6 +90,9 @@
 }
 
 func (s *stream) compress(data []byte) error {
+	if s.compressor == nil {
+		s.compressor, _ = flate.NewWriter(&s.compressedOut, flate.BestSpeed) // fails only for an invalid level
+	}
 	if _, err := s.compressor.Write(binary.AppendUvarint(nil, uint64(len(data)))); err != nil {
 		return err
 	}
@@ -105,11 +108,11 @@
 	if err != nil {
 		return err
 	}
-	if size > MaxMessageBytes {
+	if size > uint64(s.maxMessageBytes) {
 		return errors.Wrapf(ErrTooLarge, "%d bytes", size)
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(s.decompressed, data); err != nil {
+	data, err := s.readMessage(int(size))
+	if err != nil {
 		return err
 	}
 	s.stats.received.add(methodOf(data), s.compressedIn.bytes)
@@ -117,6 +120,23 @@
 	return json.Unmarshal(data, v)
 }
 
+// readMessage reads the bytes of a message. The memory for a long one is taken as it arrives, and it has to arrive in time.
+func (s *stream) readMessage(size int) ([]byte, error) {
+	if size <= shortMessageBytes {
+		data := make([]byte, size)
+		_, err := io.ReadFull(s.decompressed, data)
+		return data, err
+	}
+	if err := s.conn.SetReadDeadline(time.Now().Add(messageTimeout)); err != nil {
+		return nil, err
+	}
+	var data bytes.Buffer
+	if _, err := io.CopyN(&data, s.decompressed, int64(size)); err != nil {
+		return nil, err
+	}
+	return data.Bytes(), s.conn.SetReadDeadline(time.Time{})
+}
+
 // Close closes the connection.
 func (s *stream) Close() error { return s.conn.Close() }
 
