--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -98,7 +98,8 @@
 	}
 	delete(s.conns, victim)
 	s.evicted()
-	go func() { _ = victim.Close() }() // it may wait for a write
+	// This frees the descriptor at once. Closing victim itself might wait for a write; it ends when its reads fail.
+	_ = chosen.stream.conn.Close()
 	return true
 }
 
