Place by speed only where many workers are lastingly too slow

Cause: with a few workers slowed down for some seconds all urgent work was tried on fast workers first, in each cycle again. Change: at least a tenth of the workers of known speed have to be lastingly too slow for the tightest stretch. Only a request that may still wait for fast workers is tried on these first.

--- a/internal/dispatch/slownesslimit.go
+++ b/internal/dispatch/slownesslimit.go
@@ -18,6 +18,9 @@
 	minSlack = 1.1
 	// speedProbeShare is the share of the workers that may run a task at a time from which their speed is learned.
 	speedProbeShare = 0.1
+	// minSlowShare is the share of workers that are too slow for the tightest objective from which work is placed by speed. With fewer, the waits and
+	// preemptions for fast workers cost more than the runs on slow ones.
+	minSlowShare = 0.1
 )
 
 // tightestStretch returns the lowest stretch of the queues, +Inf if none has one.
@@ -31,17 +34,21 @@
 	return tightest
 }
 
-// addSlowness sets the slowness of the workers if some are certainly too slow for the tightest objective, and marks those of which it should be learned.
-// Otherwise speed decides nothing: keeping work off slower workers on which it is in time only costs waits and preemptions.
+// addSlowness sets the slowness of the workers if enough of them are lastingly too slow for the tightest objective, and marks those of which it should be
+// learned. Otherwise speed decides nothing.
 func (c *Core) addSlowness(in *planInput) {
+	in.fastest = 1
 	estimates := make([]speed.Estimate, len(in.workers))
 	for i, w := range in.workers {
-		estimates[i] = c.Slowness(w.ID)
+		estimates[i] = c.lastingSlowness(w)
 	}
-	in.fastest = 1
-	if speed.BoundUncertainty(estimates) < slownessSafety*c.tightestStretch() {
+	if speed.SlowShare(estimates, slownessSafety*c.tightestStretch()) < minSlowShare {
 		return
 	}
+	for i, w := range in.workers {
+		estimates[i] = c.Slowness(w.ID)
+	}
+	speed.BoundUncertainty(estimates)
 	in.fastest = math.Inf(1)
 	in.SpeedProbes = int(speedProbeShare * float64(len(in.workers)))
 	for i, e := range estimates {
--- a/internal/dispatch/workerspeed.go
+++ b/internal/dispatch/workerspeed.go
@@ -50,6 +50,14 @@
 	return c.speed.Slowness(worker, incarnation)
 }
 
+// lastingSlowness returns the estimate of the slowness of a worker without a temporary slowdown.
+func (c *Core) lastingSlowness(w *worker) speed.Estimate {
+	if c.trueSlowness != nil {
+		return c.Slowness(w.ID)
+	}
+	return c.speed.Lasting(w.ID, w.Incarnation)
+}
+
 // certainSlowness returns the lasting slowness of the slowest worker of a group's run. A worker of which it isn't certain on which side of the mean it is
 // counts as 1, since its estimate would add noise to run times.
 func (c *Core) certainSlowness(g *taskGroup) float64 {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -86,7 +86,7 @@
 	MayPreempt       bool         // may stop less urgent runs
 	PreemptionBudget float64      // most work that may be lost by preempting runs for it, core-seconds
 	SlownessLimit    float64      // largest slowness of its workers with which it meets its objective; 0 means that speed doesn't matter
-	AwaitsFastWorker bool         // isn't placed on workers above SlownessLimit: it can meet its objective by waiting for others
+	AwaitsFastWorker bool         // urgent, and can meet its objective by waiting for workers within SlownessLimit
 	BestEffort       bool         // loses little when it is stopped, so it may use the headroom
 	Interrupted      bool         // has run before
 	JobIdle          bool         // no task of its job runs or is about to start
--- a/internal/placement/slowness.go
+++ b/internal/placement/slowness.go
@@ -109,7 +109,7 @@
 // limitedToFastWorkers reports whether the request is tried first on those workers only on which it meets its objective. Single tasks of a larger request
 // don't need that, since each is placed by itself.
 func (p *planner) limitedToFastWorkers(r *Request) bool {
-	return r.MayPreempt && (r.Gang || r.Count == 1) && p.speedPreference(r) == fastestFirst
+	return r.AwaitsFastWorker && (r.Gang || r.Count == 1) && p.speedPreference(r) == fastestFirst
 }
 
 // takeSpeedProbe reports whether a patient task should run on the worker so that its speed becomes known.
@@ -124,7 +124,7 @@
 
 // tooSlow reports whether a request should rather wait than run on the workers.
 func (p *planner) tooSlow(r *Request, workers []int) bool {
-	return r.AwaitsFastWorker && p.limitedToFastWorkers(r) &&
+	return p.limitedToFastWorkers(r) &&
 		slices.ContainsFunc(workers, func(w int) bool { return p.workers[w].slowness() > r.SlownessLimit })
 }
 
--- a/internal/speed/fleet.go
+++ b/internal/speed/fleet.go
@@ -18,14 +18,30 @@
 }
 
 // BoundUncertainty bounds the uncertainty of the estimates of a fleet by the spread of the workers of known speed: a fleet whose known workers hardly differ
-// has few unknown ones that do. It returns the largest lower end of the estimates.
-func BoundUncertainty(estimates []Estimate) (slowest float64) {
+// has few unknown ones that do.
+func BoundUncertainty(estimates []Estimate) {
 	spread := spreadOf(estimates)
 	for i, e := range estimates {
 		estimates[i] = e.bounded(spread)
-		slowest = max(slowest, estimates[i].Low)
 	}
-	return slowest
+}
+
+// SlowShare returns the share of the workers of known speed that are certainly slower than a limit, 0 while too few are known.
+func SlowShare(estimates []Estimate, limit float64) float64 {
+	known, slow := 0, 0
+	for _, e := range estimates {
+		if !e.Known() {
+			continue
+		}
+		known++
+		if e.Low > limit {
+			slow++
+		}
+	}
+	if known < minKnown {
+		return 0
+	}
+	return float64(slow) / float64(known)
 }
 
 // spreadOf returns the factor of one standard deviation of the slowness of the workers of known speed, +Inf while too few are known.
