Decide by the spread of the fleet whether speed counts

Change: the spread of the workers whose speed is roughly known decides, which shows after some seconds.

--- a/internal/dispatch/slownesslimit.go
+++ b/internal/dispatch/slownesslimit.go
@@ -18,9 +18,6 @@
 	minSlack = 1.1
 	// speedProbeShare is the share of the workers that may run a task at a time from which their speed is learned.
 	speedProbeShare = 0.1
-	// minSlowShare is the share of workers that are too slow for the tightest objective from which work is placed by speed. With fewer, the waits and
-	// preemptions for fast workers cost more than the runs on slow ones.
-	minSlowShare = 0.1
 )
 
 // tightestStretch returns the lowest stretch of the queues, +Inf if none has one.
@@ -34,15 +31,16 @@
 	return tightest
 }
 
-// addSlowness sets the slowness of the workers if enough of them are lastingly too slow for the tightest objective, and marks those of which it should be
-// learned. Otherwise speed decides nothing.
+// addSlowness sets the slowness of the workers if their speeds differ so much that workers one standard deviation above the mean are lastingly too slow for the
+// tightest objective, and marks those of which it should be learned. Otherwise speed decides nothing: the waits and preemptions for fast workers cost more
+// than the runs on slow ones.
 func (c *Core) addSlowness(in *planInput) {
 	in.fastest = 1
 	estimates := make([]speed.Estimate, len(in.workers))
 	for i, w := range in.workers {
 		estimates[i] = c.lastingSlowness(w)
 	}
-	if speed.SlowShare(estimates, slownessSafety*c.tightestStretch()) < minSlowShare {
+	if spread, ok := speed.Spread(estimates); !ok || spread < slownessSafety*c.tightestStretch() {
 		return
 	}
 	for i, w := range in.workers {
--- a/internal/speed/fleet.go
+++ b/internal/speed/fleet.go
@@ -3,8 +3,8 @@
 import "math"
 
 const (
-	// knownWithin is the largest factor between Mean and High of a worker whose speed is known.
-	knownWithin = 1.2
+	// knownWithin is the largest factor between Mean and High of a worker whose speed is known: one or two reports of a run.
+	knownWithin = 1.28
 	// minKnown is the number of workers of known speed from which their spread says something of the others.
 	minKnown = 10
 )
@@ -20,32 +20,17 @@
 // BoundUncertainty bounds the uncertainty of the estimates of a fleet by the spread of the workers of known speed: a fleet whose known workers hardly differ
 // has few unknown ones that do.
 func BoundUncertainty(estimates []Estimate) {
-	spread := spreadOf(estimates)
+	spread, ok := Spread(estimates)
+	if !ok {
+		return
+	}
 	for i, e := range estimates {
 		estimates[i] = e.bounded(spread)
 	}
 }
 
-// SlowShare returns the share of the workers of known speed that are certainly slower than a limit, 0 while too few are known.
-func SlowShare(estimates []Estimate, limit float64) float64 {
-	known, slow := 0, 0
-	for _, e := range estimates {
-		if !e.Known() {
-			continue
-		}
-		known++
-		if e.Low > limit {
-			slow++
-		}
-	}
-	if known < minKnown {
-		return 0
-	}
-	return float64(slow) / float64(known)
-}
-
-// spreadOf returns the factor of one standard deviation of the slowness of the workers of known speed, +Inf while too few are known.
-func spreadOf(estimates []Estimate) float64 {
+// Spread returns the factor of one standard deviation of the slowness of the workers of known speed, and false while too few are known.
+func Spread(estimates []Estimate) (factor float64, ok bool) {
 	n, sum, squares := 0.0, 0.0, 0.0
 	for _, e := range estimates {
 		if e.Known() {
@@ -54,7 +39,7 @@
 		}
 	}
 	if n < minKnown {
-		return math.Inf(1)
+		return 0, false
 	}
-	return math.Exp(math.Sqrt(max(0, squares/n-sum*sum/(n*n))))
+	return math.Exp(math.Sqrt(max(0, squares/n-sum*sum/(n*n)))), true
 }
