Log the field evacuated only where it is true

The field evacuated=false between the others of the line broke TestTaskDoesNotRunAgainIfALostStartIsCarriedOutLate, which reads the fields in their order.

--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -132,7 +133,7 @@
 
 // Guards against further copies of a start that is under way when the evacuation is requested, or while the copy of the operator's table is too old.
 func TestNoCopyOfAStartIsSentAfterAnEvacuation(t *testing.T) {
-	r, o, _ := orderedStart(t)
+	r, o, hook := orderedStart(t)
 	copies := 0
 	r.workers = lossyWorkers{attempt: func(o Order) Result {
 		if !o.allowed() {
@@ -152,6 +153,8 @@
 	orders := r.core.TakeOrders()
 	must.SliceLen(t, 1, orders, must.Sprint("the copy that was sent may still be carried out"))
 	must.True(t, orders[0].Stop)
+	notConfirmed := slices.IndexFunc(hook.AllEntries(), func(e *logrus.Entry) bool { return e.Message == "start not confirmed" && e.Data["evacuated"] == true })
+	must.GreaterEq(t, 0, notConfirmed)
 
 	for age, sent := range map[time.Duration]bool{4 * time.Second: true, 4*time.Second + 1: false} {
 		r, o, _ := orderedStart(t, Accepted)
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -39,7 +39,11 @@
 	}
 	w := c.workers[t.worker]
 	if r != Accepted {
-		c.logTask(t).WithFields(logrus.Fields{"result": r.String(), "response": d.Response.String(), "unanswered_copies": d.UnansweredCopies, "evacuated": c.evacuated(w)}).Info("start not confirmed")
+		fields := logrus.Fields{"result": r.String(), "response": d.Response.String(), "unanswered_copies": d.UnansweredCopies}
+		if c.evacuated(w) {
+			fields["evacuated"] = true
+		}
+		c.logTask(t).WithFields(fields).Info("start not confirmed")
 	}
 	switch r {
 	case Accepted:
