Decide by the slow tenth of the known workers whether speed counts

Change: the 90th percentile of the lasting slowness of the known workers decides, with a hysteresis.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -69,6 +69,7 @@
 	evacuations          map[string]bool // failure domains that are evacuated; replaced as a whole
 	deposed              bool
 	runTimes             *runtimes.Estimates
+	placesBySpeed        map[string]bool // services whose work is placed by the speed of workers, see addSlowness
 	speed                *speed.Model
 	trueSlowness         func(worker string) float64 // replaces the estimates of speed; see SetSlowness
 	urgentDemand         urgentDemand
@@ -92,7 +93,7 @@
 // New returns the core of a new leader. now is the time at which its epoch was stored.
 func New(epoch uint64, policy *batch.Policy, bounds Bounds, log logrus.FieldLogger) *Core {
 	c := &Core{epoch: epoch, bounds: bounds, log: log, policy: policy, jobs: map[string]*job{}, endedJobs: map[string]endedJob{},
-		workers: map[string]*worker{}, rows: rowQueue{queued: map[rowID]*pendingRow{}}, tracking: taskTracking{byTeam: map[string]int{}}, dirty: true, runTimes: runtimes.New(), speed: speed.New(), nextAdviceAt: map[string]time.Duration{},
+		workers: map[string]*worker{}, rows: rowQueue{queued: map[rowID]*pendingRow{}}, tracking: taskTracking{byTeam: map[string]int{}}, dirty: true, runTimes: runtimes.New(), placesBySpeed: map[string]bool{}, speed: speed.New(), nextAdviceAt: map[string]time.Duration{},
 		counts: newCounts(), waves: map[string]*wave{}, storedWaves: map[string]waveValue{}, ampleSince: map[string]time.Duration{}}
 	c.preemptionBudget, c.planner, c.expectedRunTime = c.preemptionBudgetOf, placement.Plan, c.learnedRunTime
 	return c
--- a/internal/dispatch/slownesslimit.go
+++ b/internal/dispatch/slownesslimit.go
@@ -18,6 +18,8 @@
 	minSlack = 1.1
 	// speedProbeShare is the share of the workers that may run a task at a time from which their speed is learned.
 	speedProbeShare = 0.1
+	// speedHysteresis is the share of the limit that the slow workers have to fall below before speed decides nothing again.
+	speedHysteresis = 0.9
 )
 
 // tightestStretch returns the lowest stretch of the queues, +Inf if none has one.
@@ -31,16 +33,20 @@
 	return tightest
 }
 
-// addSlowness sets the slowness of the workers if their speeds differ so much that workers one standard deviation above the mean are lastingly too slow for the
-// tightest objective, and marks those of which it should be learned. Otherwise speed decides nothing: the waits and preemptions for fast workers cost more
-// than the runs on slow ones.
+// addSlowness sets the slowness of the workers if the slow ones are lastingly too slow for the tightest objective, and marks those of which it should be
+// learned. Otherwise speed decides nothing: the waits and preemptions for fast workers cost more than the runs on slow ones.
 func (c *Core) addSlowness(in *planInput) {
 	in.fastest = 1
 	estimates := make([]speed.Estimate, len(in.workers))
 	for i, w := range in.workers {
 		estimates[i] = c.lastingSlowness(w)
 	}
-	if spread, ok := speed.Spread(estimates); !ok || spread < slownessSafety*c.tightestStretch() {
+	limit := slownessSafety * c.tightestStretch()
+	if c.placesBySpeed[in.service] {
+		limit *= speedHysteresis
+	}
+	c.placesBySpeed[in.service] = speed.Slow(estimates) >= limit
+	if !c.placesBySpeed[in.service] {
 		return
 	}
 	for i, w := range in.workers {
