--- a/internal/speed/fleet.go
+++ b/internal/speed/fleet.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// knownWithin is the largest factor between Mean and High of a worker whose speed is known: one or two reports of a run.
-	knownWithin = 1.28
+	// knownWithin is the largest factor between Mean and High of a worker whose speed is known. With a larger one, estimates near the mean for lack of reports
+	// make the spread of the fleet too low.
+	knownWithin = 1.2
 	// minKnown is the number of workers of known speed from which their spread says something of the others.
 	minKnown = 10
 	// slowQuantile is the quantile of the slowness of the workers of known speed that counts as that of the slow ones.
