Measure teams and the second size group in the fleet model

Cause: the comparison of orders needs the worth of the worst team and the share of the fifth below the largest tenth that is served.

Change: results by team, a column with the worst team, and one with the fifth below the largest jobs.

--- a/internal/bench/fleetmodel/measure.go
+++ b/internal/bench/fleetmodel/measure.go
@@ -12,18 +12,39 @@
 	if sim.fleet.busy > 0 {
 		out.Lost = sim.fleet.lost / sim.fleet.busy
 	}
-	earnedWorth, attainableWorth := 0.0, 0.0
+	teams := make([]teamWorth, len(s.Teams))
 	for i := range s.Classes {
-		r, earned, attainable := sim.classResult(s, i)
-		out.Classes = append(out.Classes, r)
-		earnedWorth, attainableWorth = earnedWorth+earned, attainableWorth+attainable
+		out.Classes = append(out.Classes, sim.classResult(s, i, teams))
 	}
-	if attainableWorth > 0 {
-		out.Worth = earnedWorth / attainableWorth
+	total := teamWorth{}
+	for i, t := range s.Teams {
+		out.Teams = append(out.Teams, TeamResult{Name: t.Name, Jobs: teams[i].jobs, Worth: teams[i].share()})
+		total.add(teams[i].earned, teams[i].attainable)
 	}
+	out.Worth = total.share()
 	return out
 }
 
+// teamWorth is the worth that the jobs of a team earned and could have earned.
+type teamWorth struct {
+	jobs               int
+	earned, attainable float64
+}
+
+func (t *teamWorth) add(earned, attainable float64) {
+	t.jobs++
+	t.earned += earned
+	t.attainable += attainable
+}
+
+// share returns the earned part of the worth, 0 if there was none to earn.
+func (t *teamWorth) share() float64 {
+	if t.attainable == 0 {
+		return 0
+	}
+	return t.earned / t.attainable
+}
+
 // capacity returns the capacity of the fleet in core equivalents.
 func (s *Scenario) capacity() float64 {
 	f := &s.Fleet
@@ -41,8 +62,8 @@
 	maxRelativeWorth = 4
 )
 
-// classResult computes the result of a class, and the worth that its jobs earned and the worth that they could have earned.
-func (sim *simulation) classResult(s *Scenario, class int) (r ClassResult, earnedWorth, attainableWorth float64) {
+// classResult computes the result of a class, and adds the worth of its jobs to that of their teams, which are in the order of the scenario.
+func (sim *simulation) classResult(s *Scenario, class int, teams []teamWorth) (r ClassResult) {
 	c := &s.Classes[class]
 	var counted []*arrival
 	meanWork := 0.0
@@ -53,39 +74,48 @@
 		}
 	}
 	if len(counted) == 0 {
-		return r, 0, 0
+		return r
 	}
 	meanWork /= float64(len(counted))
-	var completions []time.Duration
 	slices.SortFunc(counted, func(a, b *arrival) int { return -cmp.Compare(a.work, b.work) })
-	large, largeServed, served := max(1, int(largeJobShare*float64(len(counted)))), 0, 0
+	var total teamWorth
+	completions, served := make([]time.Duration, len(counted)), make([]bool, len(counted))
 	for i, a := range counted {
 		worth := min(maxRelativeWorth, fixedWorthShare+(1-fixedWorthShare)*a.work/meanWork) * c.Worth
-		attainableWorth += worth
+		earned := 0.0
 		completion, ok := sim.completionTime(s, a)
-		completions = append(completions, completion)
+		completions[i] = completion
 		switch {
 		case ok && completion <= a.objective:
 			r.InTime++
-			earnedWorth += worth
+			earned, served[i] = worth, true
 		case ok && completion <= lateLimitFactor*a.objective:
 			r.Late++
-			earnedWorth += worth * c.LateWorth / c.Worth
-		default:
-			continue
-		}
-		served++
-		if i < large {
-			largeServed++
+			earned, served[i] = worth*c.LateWorth/c.Worth, true
 		}
+		total.add(earned, worth)
+		teams[slices.IndexFunc(s.Teams, func(t Team) bool { return t.Name == a.job.Team })].add(earned, worth)
 	}
 	slices.Sort(completions)
-	r.Jobs, r.Worth = len(counted), earnedWorth/attainableWorth
+	r.Jobs, r.Worth = len(counted), total.share()
 	r.P50, r.P99 = completions[len(completions)/2], completions[len(completions)*99/100]
-	if served > 0 {
-		r.Large = float64(largeServed) / float64(large) / (float64(served) / float64(len(counted)))
+	large := max(1, int(largeJobShare*float64(len(counted))))
+	next := min(len(counted), large+max(1, int(nextJobShare*float64(len(counted)))))
+	if all := servedShare(served); all > 0 {
+		r.Large, r.Next = servedShare(served[:large])/all, servedShare(served[large:next])/all
+	}
+	return r
+}
+
+// servedShare returns the share of true values, 0 if there are none.
+func servedShare(served []bool) float64 {
+	n := 0
+	for _, s := range served {
+		if s {
+			n++
+		}
 	}
-	return r, earnedWorth, attainableWorth
+	return float64(n) / float64(max(1, len(served)))
 }
 
 // completionTime returns the time from the arrival of a job to its completion. For a job that did not complete it returns the time to the end of the
--- a/internal/bench/fleetmodel/play.go
+++ b/internal/bench/fleetmodel/play.go
@@ -25,16 +25,19 @@
 	lateLimitFactor = 3
 	// largeJobShare is the share of the jobs of a class that count as its largest, for ClassResult.Large.
 	largeJobShare = 0.1
+	// nextJobShare is the share of the jobs below these that ClassResult.Next is about.
+	nextJobShare = 0.2
 )
 
 // Result is the result of a policy with the arrivals of one seed. Its fields and those of ClassResult are encoded under their names.
 type Result struct {
 	Classes []ClassResult
-	Worth   float64       // worth earned as a share of what all counted jobs would earn if they met their objectives
-	Busy    float64       // core-seconds worked while jobs arrive, as a share of the capacity of the fleet in that time
-	Lost    float64       // core-seconds of work that was lost, as a share of those worked
-	Starts  int           // runs started
-	Stops   int           // runs stopped by orders
+	Worth   float64 // worth earned as a share of what all counted jobs would earn if they met their objectives
+	Busy    float64 // core-seconds worked while jobs arrive, as a share of the capacity of the fleet in that time
+	Lost    float64 // core-seconds of work that was lost, as a share of those worked
+	Starts  int     // runs started
+	Stops   int     // runs stopped by orders
+	Teams   []TeamResult
 	Plan    time.Duration // processor time of the decisions
 }
 
@@ -46,6 +49,25 @@
 	Worth    float64       // as in Result
 	P50, P99 time.Duration // of the time to completion
 	Large    float64       // share of the largest jobs that completed in time or late, relative to that share of all jobs
+	Next     float64       // as Large, of the jobs below the largest
+}
+
+// TeamResult is the result of a team, over all classes.
+type TeamResult struct {
+	Name  string
+	Jobs  int
+	Worth float64 // as in Result
+}
+
+// WorstTeam returns the worth of the team that earned least of what it could have earned, 0 without teams that sent jobs.
+func (r Result) WorstTeam() float64 {
+	worst, found := 0.0, false
+	for _, t := range r.Teams {
+		if t.Jobs > 0 && (!found || t.Worth < worst) {
+			worst, found = t.Worth, true
+		}
+	}
+	return worst
 }
 
 // runSeed simulates a policy with the arrivals of a seed.
--- a/internal/bench/fleetmodel/report.go
+++ b/internal/bench/fleetmodel/report.go
@@ -123,6 +123,7 @@
 	value func(Result) float64
 }{
 	{"worth", func(r Result) float64 { return r.Worth }},
+	{"worst team", Result.WorstTeam},
 	{"busy", func(r Result) float64 { return r.Busy }},
 	{"lost", func(r Result) float64 { return r.Lost }},
 	{"starts", func(r Result) float64 { return float64(r.Starts) }},
@@ -141,6 +142,7 @@
 	{"p50 s", func(c ClassResult) float64 { return c.P50.Seconds() }},
 	{"p99 s", func(c ClassResult) float64 { return c.P99.Seconds() }},
 	{"large/all", func(c ClassResult) float64 { return c.Large }},
+	{"next/all", func(c ClassResult) float64 { return c.Next }},
 }
 
 func ratio(n, of int) float64 { return float64(n) / float64(max(1, of)) }
