--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -27,6 +27,11 @@
 	return Resources{r.MilliCores - o.MilliCores, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
 }
 
+// Times returns n times r.
+func (r Resources) Times(n int) Resources {
+	return Resources{n * r.MilliCores, n * r.MemoryMB, n * r.Accelerators}
+}
+
 // Covers reports whether r is at least o in each resource that o needs.
 func (r Resources) Covers(o Resources) bool {
 	return covers(r.MilliCores, o.MilliCores) && covers(r.MemoryMB, o.MemoryMB) && covers(r.Accelerators, o.Accelerators)
@@ -46,6 +51,18 @@
 	return n
 }
 
+// DominantShare returns the largest share of a capacity that r takes of any resource, at least 0. Resources that the capacity lacks don't count. It is the
+// dominant share of dominant resource fairness (Ghodsi et al., NSDI 2011).
+func (r Resources) DominantShare(capacity Resources) float64 {
+	share := 0.0
+	for _, pair := range [3][2]int{{r.MilliCores, capacity.MilliCores}, {r.MemoryMB, capacity.MemoryMB}, {r.Accelerators, capacity.Accelerators}} {
+		if pair[1] > 0 {
+			share = max(share, float64(pair[0])/float64(pair[1]))
+		}
+	}
+	return share
+}
+
 // acceleratorCores is the number of cores that an accelerator counts as when amounts of work are compared. The users gave this value.
 const acceleratorCores = 8
 
