Count only time with requests, and large deficits, in fair shares

Cause: a team that waited after a long idle time was under its part at once, and with a level of 0.3 teams of few large jobs changed their standing with each of them.

--- a/internal/fairshare/fairshare.go
+++ b/internal/fairshare/fairshare.go
@@ -16,23 +16,25 @@
 	// TimeConstant is the time in which a deficit decays to 1/e. Jobs last 2 to 11 s and bursts of load 4 to 17 s: a shorter time would follow the starts and
 	// ends of single jobs, a longer one would still punish a team for a burst that is over.
 	TimeConstant = 5 * time.Second
-	// enterLevel is the deficit, relative to the part, from which a team is under its part, or with the opposite sign over it.
-	enterLevel = 0.3
+	// enterLevel is the deficit, relative to the part, from which a team is under its part, or with the opposite sign over it. With 0.3 the middle class
+	// earned less than its floor in 3 of 30 seeds of orchards-peak, because teams of few large jobs changed their standing with each of them.
+	enterLevel = 0.45
 	// leaveLevel is the deficit below which it no longer is. The difference prevents that the order changes with each start.
-	leaveLevel = 0.15
+	leaveLevel = 0.25
+	// maxGap is the longest time between two updates in which the present loads count. Nothing waits while there are no updates.
+	maxGap = time.Second
 	// Tolerance is the share of its part that a team has to lack for Delay to hold.
-	Tolerance = 0.5
+	Tolerance = 0.6
 )
 
 // Delay is the longest time after which a team that waits and lacks at least Tolerance of its part is Under it, whatever it used before: the level rises from
 // -1 towards Tolerance or more.
 var Delay = time.Duration(float64(TimeConstant) * math.Log((Tolerance+1)/(Tolerance-enterLevel)))
 
-// Standing is how what a team got in the last seconds and holds now compares with its part. Teams that are Under are served before those that are Even, and
-// these before those that are Over.
+// Standing is how what a team got in the last seconds and holds now compares with its part.
 type Standing int8
 
-// The standings in the order in which they are served.
+// The standings.
 const (
 	Under Standing = iota - 1
 	Even
@@ -65,17 +67,18 @@
 	updatedAt time.Duration
 }
 
-// Update records the loads at a time. Each team is listed at most once; the levels of teams that aren't listed decay.
+// Update records the loads at a time; while requests wait it has to be called at least once a second. Each team is listed at most once; the levels of teams that aren't listed decay.
 func (t *Tracker) Update(loads []Load, now time.Duration) {
 	if t.teams == nil {
 		t.teams, t.updatedAt = map[string]*Team{}, now
 	}
-	share := 1 - math.Exp(-max(0, now-t.updatedAt).Seconds()/TimeConstant.Seconds())
+	gap := max(0, now-t.updatedAt)
 	t.updatedAt = now
+	unloaded, share := math.Exp(-max(0, gap-maxGap).Seconds()/TimeConstant.Seconds()), 1-math.Exp(-min(gap, maxGap).Seconds()/TimeConstant.Seconds())
 	for name, team := range t.teams {
 		if !slices.ContainsFunc(loads, func(l Load) bool { return l.Team == name }) {
 			team.Usage, team.Part = 0, 0
-			team.update(0, share)
+			team.update(0, unloaded, share)
 			if math.Abs(team.Level) < 0.01 {
 				delete(t.teams, name)
 			}
@@ -96,12 +99,13 @@
 				lack = max(-1, (parts[i]-l.Usage)/parts[i])
 			}
 		}
-		team.update(lack, share)
+		team.update(lack, unloaded, share)
 	}
 }
 
-// update moves the level by a share of the way towards the present lack, and sets the standing. A team that has its part now is Even at once.
-func (t *Team) update(lack, share float64) {
+// update multiplies the level by its decay in the time without load, moves it by a share of the way towards the present lack, and sets the standing. A team that has its part now is Even at once.
+func (t *Team) update(lack, unloaded, share float64) {
+	t.Level *= unloaded
 	t.Level += share * (lack - t.Level)
 	switch {
 	case t.Level >= enterLevel:
