Order waiting requests by waitcost and by fair shares of teams

Cause: three mechanisms in internal/dispatch decide who goes first under scarcity, and none of them looks at the team.

Change: internal/dispatch describes each waiting job to waitcost and sorts by its keys; worth, late factor and overload mark leave it. Requests in time of a team that got far less than its fair part come first in their priority, requests without worth last. The order of waitcost and the fair shares can be replaced for comparisons. The log of waits has the team's share and the outlook of the job, the log of priorities the teams under and over their part.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -6,7 +6,9 @@
 	"github.com/sirupsen/logrus"
 
 	"samphirewell/internal/batch"
+	"samphirewell/internal/fairshare"
 	"samphirewell/internal/placement"
+	"samphirewell/internal/waitcost"
 )
 
 // Bounds are the limits that workers and operators set.
@@ -40,6 +42,8 @@
 	planner func(placement.Input) placement.Decision
 	// expectedRunTime returns the expected run time of a task of a step.
 	expectedRunTime func(j *batch.Job, step int) time.Duration
+	// waitOrder orders the waiting jobs of a priority.
+	waitOrder waitcost.Order
 
 	epoch     uint64
 	bounds    Bounds
@@ -64,6 +68,8 @@
 	deposed              bool
 	runTimeEstimates     runTimeEstimates
 	urgentDemand         urgentDemand
+	shares               map[shareKey]*fairshare.Tracker
+	sharesDisabled       bool
 	ampleSince           map[string]time.Duration // since when the capacity of a service has been ample
 	lastStateCleanup     time.Duration
 	prioritiesLoggedAt   time.Duration
@@ -85,8 +91,8 @@
 func New(epoch uint64, policy *batch.Policy, bounds Bounds, log logrus.FieldLogger) *Core {
 	c := &Core{epoch: epoch, bounds: bounds, log: log, policy: policy, jobs: map[string]*job{}, endedJobs: map[string]endedJob{},
 		workers: map[string]*worker{}, rows: rowQueue{queued: map[rowID]*pendingRow{}}, tracking: taskTracking{byTeam: map[string]int{}}, dirty: true, runTimeEstimates: runTimeEstimates{}, nextAdviceAt: map[string]time.Duration{},
-		counts: newCounts(), waves: map[string]*wave{}, storedWaves: map[string]waveValue{}, ampleSince: map[string]time.Duration{}}
-	c.preemptionBudget, c.planner, c.expectedRunTime = c.preemptionBudgetOf, placement.Plan, c.runTimeEstimates.expect
+		counts: newCounts(), waves: map[string]*wave{}, storedWaves: map[string]waveValue{}, ampleSince: map[string]time.Duration{}, shares: map[shareKey]*fairshare.Tracker{}}
+	c.preemptionBudget, c.planner, c.expectedRunTime, c.waitOrder = c.preemptionBudgetOf, placement.Plan, c.runTimeEstimates.expect, waitcost.ByValue
 	return c
 }
 
@@ -105,6 +111,9 @@
 	c.expectedRunTime = expect
 }
 
+// SetOrder replaces the order of the waiting jobs of a priority, for comparisons of policies.
+func (c *Core) SetOrder(order waitcost.Order) { c.waitOrder = order }
+
 // Epoch returns the leader's epoch.
 func (c *Core) Epoch() uint64 { return c.epoch }
 
--- a/internal/dispatch/counts.go
+++ b/internal/dispatch/counts.go
@@ -55,11 +55,12 @@
 	Leases  int             // workers with runs, whose leases are renewed
 	Used    map[int]float64 // resources that runs hold, by priority, core equivalents
 	Unused  float64         // free capacity of usable workers, core equivalents
+	Teams   TeamsByStanding // teams under and over their fair part
 }
 
 // Overview returns the state of the leader.
 func (c *Core) Overview(now time.Duration) Overview {
-	o := Overview{Jobs: len(c.liveJobs), Held: c.tracking.held, Waiting: map[int]int{}, Free: map[string]int{}, Usable: map[string]int{}, Workers: map[string]int{}, Used: map[int]float64{}}
+	o := Overview{Jobs: len(c.liveJobs), Held: c.tracking.held, Waiting: map[int]int{}, Free: map[string]int{}, Usable: map[string]int{}, Workers: map[string]int{}, Used: map[int]float64{}, Teams: c.teamsByStanding()}
 	for _, j := range c.liveJobs {
 		o.Open += len(j.occurrences)
 		for _, occ := range j.occurrences {
--- a/internal/dispatch/objective.go
+++ b/internal/dispatch/objective.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"samphirewell/internal/waitcost"
+)
 
 // objectiveStatus is how the age of a job compares with its objective.
 type objectiveStatus uint8
@@ -14,9 +18,6 @@
 // String returns the name for logs and metrics.
 func (s objectiveStatus) String() string { return [...]string{"in_time", "late", "too_late"}[s] }
 
-// lateFactor is the multiple of its objective after which the result of a job has no worth to its caller, as the users define it.
-const lateFactor = 3
-
 // objective is the time in which a job should be done: a multiple of its critical path, and a fixed part.
 func (c *Core) objective(j *job) time.Duration {
 	return j.objectiveFor(longestOf(c.remainingPaths(j)))
@@ -33,7 +34,7 @@
 	switch {
 	case age <= objective:
 		return inTime
-	case age <= lateFactor*objective:
+	case age <= waitcost.LateFactor*objective:
 		return late
 	}
 	return tooLate
--- a/internal/dispatch/overload_test.go
+++ b/internal/dispatch/overload_test.go
@@ -13,6 +13,7 @@
 
 	"samphirewell/internal/batch"
 	"samphirewell/internal/rowstore"
+	"samphirewell/internal/waitcost"
 )
 
 // urgentStartLimit is the users' bound for the start of urgent work.
@@ -163,10 +164,17 @@
 
 // Guards against newer jobs that overtake older ones although all will meet their objective.
 func TestOldestJobsComeFirstWithoutOverload(t *testing.T) {
-	order := func(urgency, worth float64) []string {
-		ready := []readyGroups{{order: requestOrder{urgency: urgency, worth: worthInTime, acceptedMS: 2, seq: 2}},
-			{order: requestOrder{urgency: urgency, worth: worthInTime, acceptedMS: 1, seq: 1}}, {order: requestOrder{urgency: urgency, worth: worth, acceptedMS: 0}}}
-		markOverload(ready)
+	order := func(priority int, rest time.Duration) []string {
+		jobs := make([]waitcost.Job, 3)
+		ready := make([]readyGroups, 3)
+		for i := range jobs {
+			jobs[i] = waitcost.Job{Priority: priority, Objective: time.Second, RemainingShare: 1}
+			ready[i].order = requestOrder{urgency: float64(priority), acceptedMS: int64(2 - i), seq: 2 - i}
+		}
+		jobs[2].Rest = rest
+		for i, key := range waitcost.ByValue(jobs) {
+			ready[i].order.cost = key
+		}
 		slices.SortFunc(ready, func(a, b readyGroups) int { return a.order.compare(b.order) })
 		var out []string
 		for _, r := range ready {
@@ -174,7 +182,7 @@
 		}
 		return out
 	}
-	must.Eq(t, []string{"0", "1", "2"}, order(1, worthInTime))
-	must.Eq(t, []string{"2", "1", "0"}, order(1, lateWorthShare))
-	must.Eq(t, []string{"1", "2", "0"}, order(0, lateWorthShare))
+	must.Eq(t, []string{"0", "1", "2"}, order(1, 0))
+	must.Eq(t, []string{"2", "1", "0"}, order(1, 2*time.Second))
+	must.Eq(t, []string{"1", "2", "0"}, order(0, 2*time.Second))
 }
--- a/internal/dispatch/plan.go
+++ b/internal/dispatch/plan.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"samphirewell/internal/batch"
 	"samphirewell/internal/placement"
 )
 
@@ -46,15 +47,16 @@
 		}
 		service := c.serviceOf(j)
 		for _, o := range j.occurrences {
-			worth := &occurrenceWorth{core: c, job: j, occurrence: o, now: now}
+			rest := &occurrenceRest{core: c, job: j, occurrence: o, now: now}
 			for _, s := range o.steps {
-				byService[service] = append(byService[service], c.readyGroupsOf(j, s, worth, guaranteed[j], now)...)
+				byService[service] = append(byService[service], c.readyGroupsOf(j, s, rest, guaranteed[j], now)...)
 			}
 		}
 	}
+	use := c.useByTeam(now)
 	for _, service := range slices.Sorted(maps.Keys(byService)) {
 		if len(byService[service]) > 0 && c.mayStartIn(service) {
-			p.services = append(p.services, c.planInput(service, byService[service], guaranteed, now))
+			p.services = append(p.services, c.planInput(service, byService[service], use, guaranteed, now))
 		}
 	}
 	return p
@@ -126,6 +128,8 @@
 type planInput struct {
 	placement.Input
 	service        string
+	capacity       batch.Resources // of all workers
+	ready          []readyGroups   // in the order in which they are served
 	workers        []*worker
 	incarnations   []int64 // of the workers
 	workerIndex    map[string]int
@@ -142,10 +146,12 @@
 	decision       placement.Decision
 }
 
-func (c *Core) planInput(service string, ready []readyGroups, guaranteed map[*job]bool, now time.Duration) *planInput {
+func (c *Core) planInput(service string, ready []readyGroups, use map[shareKey]teamUse, guaranteed map[*job]bool, now time.Duration) *planInput {
 	in := &planInput{service: service, workerIndex: make(map[string]int, len(c.byID)), tasksPerWorker: map[*stepState]map[int]int{},
 		stoppable: map[*taskGroup]bool{}, admitted: map[int]bool{}}
 	c.addWorkers(in, now)
+	in.capacity = capacityOf(in.Workers)
+	c.updateShares(service, use, in.capacity, now)
 	in.admitSuspected(ready, now)
 	c.addRuns(in, guaranteed, now)
 	c.addRequests(in, ready, guaranteed, now)
@@ -189,6 +195,15 @@
 	return sum
 }
 
+// capacityOf returns the capacity of workers.
+func capacityOf(workers []placement.Worker) batch.Resources {
+	var sum batch.Resources
+	for i := range workers {
+		sum = sum.Plus(workers[i].Capacity)
+	}
+	return sum
+}
+
 // applyPlacement starts groups on the workers chosen for them, except on closed ones and where they can't start any more.
 func (c *Core) applyPlacement(in *planInput, p placement.Placement, closed func(worker int) bool, now time.Duration) {
 	groups := in.requestGroups[p.Request]
--- a/internal/dispatch/prioritylog.go
+++ b/internal/dispatch/prioritylog.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"samphirewell/internal/fairshare"
 )
 
 // priorityLogInterval is the period of the log lines on the capacity of each priority; short enough to show bursts of some seconds.
@@ -80,6 +82,6 @@
 		p := summaries[priority]
 		c.log.WithFields(logrus.Fields{"epoch": c.epoch, "priority": priority, "held_cores": int(p.heldCores), "waiting_tasks": p.waitingTasks,
 			"waiting_in_time": p.waitingJobs[inTime], "waiting_late": p.waitingJobs[late], "waiting_too_late": p.waitingJobs[tooLate],
-			"waiting_mostly_done": p.mostlyDone}).Info("capacity of a priority")
+			"waiting_mostly_done": p.mostlyDone, "teams_under": c.teamNames(priority, fairshare.Under), "teams_over": c.teamNames(priority, fairshare.Over)}).Info("capacity of a priority")
 	}
 }
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -1,18 +1,14 @@
 package dispatch
 
-import "time"
+import (
+	"time"
 
-// worthInTime is the worth of the remaining work of a new job that meets its objective.
-const worthInTime = 1
+	"samphirewell/internal/batch"
+	"samphirewell/internal/waitcost"
+)
 
-// lateWorthShare is the worth of a late result relative to that of a result in time: between 0.2 and 0.3 for all kinds of requests of the users.
-const lateWorthShare = 0.25
-
-// minRemainingShare bounds the worth of jobs of which nearly nothing is left, or only tasks that need no resources.
-const minRemainingShare = 0.01
-
-// occurrenceWorth computes what the rest of an occurrence of a job is worth, at one time.
-type occurrenceWorth struct {
+// occurrenceRest describes what is left of an occurrence of a job, at one time.
+type occurrenceRest struct {
 	core       *Core
 	job        *job
 	occurrence *occurrence
@@ -22,28 +18,23 @@
 	remaining float64         // see remainingShare
 }
 
-// ofStep returns what the job earns for each unit of its work that isn't done, if tasks of the step start now. For a new job that meets its objective it is
-// 1. It is higher for a job that is nearly done, since a job earns only as a whole.
-func (w *occurrenceWorth) ofStep(step int) float64 {
-	if w.paths == nil {
-		w.paths, w.remaining = w.core.remainingPaths(w.job), w.core.remainingShare(w.job, w.occurrence)
+// waitingJob describes the job for the order of requests, if tasks of the step start now. capacity is that of all workers of the service.
+func (r *occurrenceRest) waitingJob(step int, capacity batch.Resources) waitcost.Job {
+	if r.paths == nil {
+		r.paths, r.remaining = r.core.remainingPaths(r.job), r.core.remainingShare(r.job, r.occurrence)
 	}
-	return w.share(step) / max(w.remaining, minRemainingShare)
+	return waitcost.Job{Priority: r.job.Queue.Priority, Age: r.core.age(r.job, r.occurrence.index, r.now), Objective: r.job.objectiveFor(longestOf(r.paths)),
+		Rest: r.paths[step], RemainingShare: r.remaining, Work: r.core.scarceWork(r.job, capacity), LongRunning: r.job.Steps[step].LongRunning}
 }
 
-// share returns the expected worth of the job relative to that of a result in time, if tasks of the step start now.
-func (w *occurrenceWorth) share(step int) float64 {
-	if w.job.Steps[step].LongRunning {
-		return worthInTime // it earns while it runs
-	}
-	age, objective := w.core.age(w.job, w.occurrence.index, w.now)+w.paths[step], w.job.objectiveFor(longestOf(w.paths))
-	switch {
-	case age <= objective:
-		return worthInTime
-	case age <= lateFactor*objective:
-		return lateWorthShare
+// scarceWork returns the expected work of a job as the time for which it would need the whole capacity of the resource of which each step needs most.
+func (c *Core) scarceWork(j *job, capacity batch.Resources) float64 {
+	work := 0.0
+	for i := range j.Steps {
+		spec := &j.Steps[i]
+		work += float64(spec.Tasks) * spec.Need.DominantShare(capacity) * c.expectedRunTime(&j.Job, i).Seconds()
 	}
-	return 0
+	return work
 }
 
 // age returns the time since the acceptance of a job, or since an occurrence of it was due.
--- a/internal/dispatch/progress_test.go
+++ b/internal/dispatch/progress_test.go
@@ -8,6 +8,7 @@
 	"github.com/shoenig/test/must"
 
 	"samphirewell/internal/batch"
+	"samphirewell/internal/waitcost"
 )
 
 // Guards against a job that waits for its last task behind all newer jobs once it has missed its objective, so that the work done for it earns nothing.
@@ -45,11 +46,11 @@
 	}{
 		{0, 0, 0, 1},
 		{8 * time.Second, 0, 0, 1},
-		{9 * time.Second, 0, 0, lateWorthShare},
-		{9 * time.Second, 2, 0, lateWorthShare * 8 / 6},
+		{9 * time.Second, 0, 0, waitcost.Late},
+		{9 * time.Second, 2, 0, waitcost.Late * 8 / 6},
 		{10 * time.Second, 4, 1, 2},
-		{11 * time.Second, 4, 1, 2 * lateWorthShare},
-		{32 * time.Second, 0, 0, lateWorthShare},
+		{11 * time.Second, 4, 1, 2 * waitcost.Late},
+		{32 * time.Second, 0, 0, waitcost.Late},
 		{33 * time.Second, 0, 0, 0},
 	} {
 		j.ID = fmt.Sprint(x)
@@ -59,8 +60,9 @@
 		for i := range x.done {
 			c.setPhase(n.occurrences[0].steps[0].groups[i].tasks[0], done)
 		}
-		w := occurrenceWorth{core: c, job: n, occurrence: n.occurrences[0], now: s.fleet.now}
-		must.Eq(t, x.expected, w.ofStep(x.step), must.Sprint(x))
+		rest := occurrenceRest{core: c, job: n, occurrence: n.occurrences[0], now: s.fleet.now}
+		w := rest.waitingJob(x.step, smallNeed)
+		must.Eq(t, x.expected, w.Value(), must.Sprint(x))
 	}
 }
 
@@ -85,6 +87,8 @@
 	j.Steps = append(j.Steps, batch.Step{Tasks: 1, Estimate: time.Second, After: []int{0}})
 	c.AddJob(j, s.fleet.now)
 	c.setPhase(c.jobs["j"].occurrences[0].steps[0].groups[0].tasks[0], done)
-	must.Eq(t, 100, (&occurrenceWorth{core: c, job: c.jobs["j"], occurrence: c.jobs["j"].occurrences[0], now: s.fleet.now}).ofStep(1))
+	rest := occurrenceRest{core: c, job: c.jobs["j"], occurrence: c.jobs["j"].occurrences[0], now: s.fleet.now}
+	w := rest.waitingJob(1, smallNeed)
+	must.Eq(t, 100, w.Value())
 	must.Zero(t, c.objective(&job{}))
 }
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -6,7 +6,9 @@
 	"slices"
 	"time"
 
+	"samphirewell/internal/batch"
 	"samphirewell/internal/placement"
+	"samphirewell/internal/waitcost"
 )
 
 // spanRacksAfter is the wait after which a preempting request within a guarantee may span several racks, although it runs slower there. It leaves
@@ -16,15 +18,17 @@
 // readyGroups is the groups of a step that may be placed and are equally urgent.
 type readyGroups struct {
 	groups []*taskGroup
+	rest   *occurrenceRest // of their job
 	order  requestOrder
 }
 
-// requestOrder holds what orders requests: priority, then requests within a guarantee, then the worth of the job's remaining work, then age; see compareAge.
+// requestOrder holds what orders requests: priority, then requests within a guarantee, then teams below their fair part, then what
+// the wait costs, then age.
 type requestOrder struct {
 	urgency          float64
 	beyondGuarantee  bool
-	worth            float64 // of the job's remaining work, see occurrenceWorth
-	overloaded       bool    // see markOverload
+	precedence       precedence
+	cost             waitcost.Key
 	acceptedMS       int64
 	seq              int // of the job
 	occurrence, step int
@@ -32,33 +36,31 @@
 }
 
 func (a requestOrder) compare(b requestOrder) int {
-	return cmp.Or(cmp.Compare(a.urgency, b.urgency), compareBool(a.beyondGuarantee, b.beyondGuarantee), -cmp.Compare(a.worth, b.worth),
-		a.compareAge(b), cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.step, b.step), cmp.Compare(a.failures, b.failures))
-}
-
-// compareAge orders equally worthy jobs: oldest first, but under overload those that will meet their objective newest first, since the oldest of them would
-// take turns at just missing it.
-func (a requestOrder) compareAge(b requestOrder) int {
-	oldestFirst := cmp.Or(cmp.Compare(a.acceptedMS, b.acceptedMS), cmp.Compare(a.seq, b.seq))
-	if a.overloaded && a.worth >= worthInTime {
-		return -oldestFirst
+	age := cmp.Or(cmp.Compare(a.acceptedMS, b.acceptedMS), cmp.Compare(a.seq, b.seq))
+	if a.cost.NewestFirst {
+		age = -age
 	}
-	return oldestFirst
+	return cmp.Or(cmp.Compare(a.urgency, b.urgency), compareBool(a.beyondGuarantee, b.beyondGuarantee), cmp.Compare(a.precedence, b.precedence), a.cost.Compare(b.cost), age,
+		cmp.Compare(a.occurrence, b.occurrence), cmp.Compare(a.step, b.step), cmp.Compare(a.failures, b.failures))
 }
 
-// markOverload marks the requests of the priorities that are overloaded: a job that waits will miss its objective. Urgent requests are left out, since their
-// wait for a guarantee is bounded.
-func markOverload(ready []readyGroups) {
-	overloaded := map[float64]bool{}
-	for _, r := range ready {
-		if r.order.worth < worthInTime {
-			overloaded[r.order.urgency] = true
-		}
+// rank sets what the waits of the requests cost and sorts them.
+func (c *Core) rank(service string, ready []readyGroups, capacity batch.Resources) {
+	byUrgency := map[float64][]int{}
+	for i, r := range ready {
+		byUrgency[r.order.urgency] = append(byUrgency[r.order.urgency], i)
 	}
-	for i := range ready {
-		o := &ready[i].order
-		o.overloaded = o.urgency > 0 && overloaded[o.urgency]
+	for _, requests := range byUrgency {
+		jobs := make([]waitcost.Job, len(requests))
+		for n, i := range requests {
+			jobs[n] = ready[i].rest.waitingJob(ready[i].order.step, capacity)
+		}
+		for n, key := range c.waitOrder(jobs) {
+			r := &ready[requests[n]]
+			r.order.cost, r.order.precedence = key, c.precedence(service, r.rest.job, jobs[n])
+		}
 	}
+	slices.SortStableFunc(ready, func(a, b readyGroups) int { return a.order.compare(b.order) })
 }
 
 // compareBool orders false before true.
@@ -73,7 +75,7 @@
 }
 
 // readyGroupsOf returns the groups of a step that may be placed now, by their numbers of failures.
-func (c *Core) readyGroupsOf(j *job, s *stepState, worth *occurrenceWorth, withinGuarantee bool, now time.Duration) []readyGroups {
+func (c *Core) readyGroupsOf(j *job, s *stepState, rest *occurrenceRest, withinGuarantee bool, now time.Duration) []readyGroups {
 	if !s.opened || s.waiting == 0 {
 		return nil
 	}
@@ -84,15 +86,10 @@
 		}
 		order := requestOrder{urgency: g.urgency(), beyondGuarantee: !withinGuarantee, acceptedMS: j.AcceptedMS, seq: j.seq,
 			occurrence: g.occurrence, step: g.step, failures: len(g.failedRuns)}
-		if n := len(out); n > 0 {
-			order.worth = out[0].order.worth
-		} else {
-			order.worth = worth.ofStep(g.step)
-		}
 		i := slices.IndexFunc(out, func(r readyGroups) bool { return r.order == order })
 		if i < 0 {
 			i = len(out)
-			out = append(out, readyGroups{order: order})
+			out = append(out, readyGroups{rest: rest, order: order})
 		}
 		out[i].groups = append(out[i].groups, g)
 	}
@@ -101,8 +98,8 @@
 
 // addRequests adds the ready groups in the order of their urgency. Equal groups of a step are one request.
 func (c *Core) addRequests(in *planInput, ready []readyGroups, guaranteed map[*job]bool, now time.Duration) {
-	markOverload(ready)
-	slices.SortStableFunc(ready, func(a, b readyGroups) int { return a.order.compare(b.order) })
+	c.rank(in.service, ready, in.capacity)
+	in.ready = ready
 	var groups []*taskGroup
 	for _, r := range ready {
 		groups = append(groups, r.groups...)
--- a/internal/dispatch/waitlog.go
+++ b/internal/dispatch/waitlog.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"samphirewell/internal/placement"
+	"samphirewell/internal/waitcost"
 )
 
 // waitLogInterval is the shortest time between two log lines about a waiting task group; it bounds the log volume while many wait.
@@ -56,16 +57,31 @@
 			continue
 		}
 		g.waitLoggedAt = now
-		left := placement.RoomFor(r, in.Workers)
+		left, outlook := placement.RoomFor(r, in.Workers), in.outlook(g)
 		c.logTask(g.tasks[0]).WithFields(capacity).WithFields(logrus.Fields{"waited_ms": r.WaitTime.Milliseconds(), "tasks": r.Count, "gang": r.Gang,
 			"same_rack": r.Step.SameRack, "data_rack": r.Step.DataRack, "accelerators_each": r.Step.Need.Accelerators,
 			"within_guarantee": r.WithinGuarantee, "fit_fleet": l.room.Fleet, "fit_rack": l.room.Rack, "left_fleet": left.Fleet,
 			"left_rack": left.Rack, "reserved": slices.Contains(in.decision.Reserved, l.request), "avoided_workers": l.avoided, "ahead": l.request,
 			"priority": r.Priority, "standing": c.objectiveStatus(g.job, now).String(), "preemptions": g.preemptions,
+			"team_share": c.shareOf(in.service, g.job).String(), "outlook": outlook.Decision.String(), "expected_wait_ms": outlook.Wait.Milliseconds(),
 			"remaining_percent": int(100 * c.remainingShare(g.job, g.job.occurrence(g.occurrence)))}).Info("still waiting for room")
 	}
 }
 
+// outlook returns the expected future of a waiting group: what waits ahead of it is done first by the whole capacity of the service. Steps of a job that wait
+// at the same time count its remaining work once each.
+func (in *planInput) outlook(g *taskGroup) waitcost.Outlook {
+	ahead := 0.0
+	for _, r := range in.ready {
+		job := r.rest.waitingJob(r.order.step, in.capacity)
+		if slices.Contains(r.groups, g) {
+			return job.Outlook(ahead, 1)
+		}
+		ahead += job.Work * job.RemainingShare
+	}
+	return waitcost.Outlook{}
+}
+
 // freeCapacityFields describes the free capacity of a cycle for log lines.
 func freeCapacityFields(in *planInput) logrus.Fields {
 	free, usable := 0, 0
