--- a/internal/dispatch/slownesslimit.go
+++ b/internal/dispatch/slownesslimit.go
@@ -19,9 +19,7 @@
 	minSlack = 1.1
 	// speedProbeShare is the share of the workers that may run a task at a time from which their speed is learned.
 	speedProbeShare = 0.1
-	// slowWorkerShare times the tightest stretch is the slowness from which workers count as too slow for it: stores and orders take a part of the time.
-	slowWorkerShare = 0.85
-	// speedHysteresis is the share of the limit that the slow workers have to fall below before speed decides nothing again.
+	// speedHysteresis is the share of the limit that the unevenness of the fleet has to fall below before speed decides nothing again.
 	speedHysteresis = 0.9
 )
 
@@ -36,19 +34,20 @@
 	return tightest
 }
 
-// addSlowness sets the slowness of the workers if the slow ones are lastingly too slow for the tightest objective, and marks those of which it should be
-// learned. Otherwise speed decides nothing: the waits and preemptions for fast workers cost more than the runs on slow ones.
+// addSlowness sets the slowness of the workers if the slow ones lastingly take longer than the fast ones by the tightest stretch, so that work with a tight
+// objective misses it on some workers and meets it on others, and marks those of which it should be learned. Otherwise speed decides nothing: the waits and
+// preemptions for fast workers would cost more than the runs on slow ones.
 func (c *Core) addSlowness(in *planInput) {
 	in.fastest = 1
 	lasting, estimates := make([]speed.Estimate, len(in.workers)), make([]speed.Estimate, len(in.workers))
 	for i, w := range in.workers {
 		lasting[i], estimates[i] = c.slownessForPlacement(w)
 	}
-	limit := slowWorkerShare * c.tightestStretch()
+	limit := c.tightestStretch()
 	if c.placesBySpeed[in.service] {
 		limit *= speedHysteresis
 	}
-	c.placesBySpeed[in.service] = speed.Slow(lasting) >= limit
+	c.placesBySpeed[in.service] = speed.Unevenness(lasting) >= limit
 	if !c.placesBySpeed[in.service] {
 		return
 	}
--- a/internal/speed/fleet.go
+++ b/internal/speed/fleet.go
@@ -11,8 +11,8 @@
 	knownWithin = 1.2
 	// minKnown is the number of workers of known speed from which their spread says something of the others.
 	minKnown = 10
-	// minSlowWorkers and slowShare are the number and the share of the workers that have to be slow for a fleet to have slow workers.
-	minSlowWorkers, slowShare = 3, 0.02
+	// minOutliers and outlierShare are the number and the share of the workers that have to be slow, and fast, for a fleet to be uneven.
+	minOutliers, outlierShare = 3, 0.02
 )
 
 // Known reports whether the estimate is certain enough to tell fast workers from slow ones.
@@ -35,19 +35,20 @@
 	}
 }
 
-// Slow returns the slowness that the slow workers of a fleet certainly have: the lower end of the estimates of slowShare of the workers is above it. It
-// returns 0 for fewer than minSlowWorkers.
-func Slow(estimates []Estimate) float64 {
-	low := make([]float64, len(estimates))
+// Unevenness returns how many times as long run times on the slow workers of a fleet certainly are as on the fast ones: the lower end of the estimates of the
+// slowest outlierShare relative to the upper end of those of the fastest. It is 0 if these would be the same workers.
+func Unevenness(estimates []Estimate) float64 {
+	n := max(minOutliers, int(outlierShare*float64(len(estimates))))
+	if len(estimates) < 2*n {
+		return 0
+	}
+	low, high := make([]float64, len(estimates)), make([]float64, len(estimates))
 	for i, e := range estimates {
-		low[i] = e.Low
+		low[i], high[i] = e.Low, e.High
 	}
 	slices.Sort(low)
-	n := max(minSlowWorkers, int(slowShare*float64(len(low))))
-	if n > len(low) {
-		return 0
-	}
-	return low[len(low)-n]
+	slices.Sort(high)
+	return low[len(low)-n] / high[n-1]
 }
 
 // spread returns the factor of one standard deviation of the slowness of the workers of known speed, and false while too few are known.
