Log when the speed of workers begins or ceases to count

Cause: it isn't visible whether the speed of workers decides placement. Change: a log line at each change, with the unevenness of the fleet.

--- a/internal/dispatch/slownesslimit.go
+++ b/internal/dispatch/slownesslimit.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"samphirewell/internal/placement"
 	"samphirewell/internal/speed"
 	"samphirewell/internal/waitcost"
@@ -43,11 +45,14 @@
 	for i, w := range in.workers {
 		lasting[i], estimates[i] = c.slownessForPlacement(w)
 	}
-	limit := c.tightestStretch()
-	if c.placesBySpeed[in.service] {
+	unevenness, limit, before := speed.Unevenness(lasting), c.tightestStretch(), c.placesBySpeed[in.service]
+	if before {
 		limit *= speedHysteresis
 	}
-	c.placesBySpeed[in.service] = speed.Unevenness(lasting) >= limit
+	c.placesBySpeed[in.service] = unevenness >= limit
+	if before != c.placesBySpeed[in.service] {
+		c.log.WithFields(logrus.Fields{"epoch": c.epoch, "service": in.service, "by_speed": !before, "unevenness": rounded(unevenness)}).Info("placement by the speed of workers changed")
+	}
 	if !c.placesBySpeed[in.service] {
 		return
 	}
