Count workers of unknown speed as slow for the order of requests

Cause: while most workers are unknown, their mean slowness of 1 made urgent work look patient, so that it got slow and unknown workers first. Change: the upper end of the estimates decides which requests are patient.

--- a/internal/placement/slowness.go
+++ b/internal/placement/slowness.go
@@ -40,7 +40,7 @@
 	for i := range p.workers {
 		p.slownessClass[i] = p.workers[i].slownessClass()
 		if p.workers[i].Usable {
-			usable = append(usable, p.workers[i].slowness())
+			usable = append(usable, p.workers[i].likelySlowness())
 		}
 	}
 	if len(usable) == 0 {
