--- a/internal/dispatch/slownesslimit.go
+++ b/internal/dispatch/slownesslimit.go
@@ -21,6 +21,9 @@
 	minSlack = 1.1
 	// speedProbeShare is the share of the workers that may run a task at a time from which their speed is learned.
 	speedProbeShare = 0.1
+	// unevennessMargin is how far the unevenness of the fleet has to exceed the tightest stretch: the extremes of many estimates exaggerate, and with a ratio of
+	// the speeds near the stretch most work is in time on any worker.
+	unevennessMargin = 1.25
 	// speedHysteresis is the share of the limit that the unevenness of the fleet has to fall below before speed decides nothing again.
 	speedHysteresis = 0.9
 )
@@ -36,7 +39,7 @@
 	return tightest
 }
 
-// addSlowness sets the slowness of the workers if the slow ones lastingly take longer than the fast ones by the tightest stretch, so that work with a tight
+// addSlowness sets the slowness of the workers if the slow ones lastingly take so much longer than the fast ones that work with a tight
 // objective misses it on some workers and meets it on others, and marks those of which it should be learned. Otherwise speed decides nothing: the waits and
 // preemptions for fast workers would cost more than the runs on slow ones.
 func (c *Core) addSlowness(in *planInput) {
@@ -45,7 +48,7 @@
 	for i, w := range in.workers {
 		lasting[i], estimates[i] = c.slownessForPlacement(w)
 	}
-	unevenness, limit, before := speed.Unevenness(lasting), c.tightestStretch(), c.placesBySpeed[in.service]
+	unevenness, limit, before := speed.Unevenness(lasting), unevennessMargin*c.tightestStretch(), c.placesBySpeed[in.service]
 	if before {
 		limit *= speedHysteresis
 	}
