--- a/internal/dispatch/slownesslimit.go
+++ b/internal/dispatch/slownesslimit.go
@@ -95,5 +95,5 @@
 		r.SlownessLimit = max(0, limit(waitcost.LateFactor*objective))
 		return
 	}
-	r.AwaitsFastWorker = r.MayPreempt && !(r.WithinGuarantee && r.WaitTime > fastWorkerWaitLimit)
+	r.AwaitsFastWorker = r.MayPreempt && (!r.WithinGuarantee || r.WaitTime <= fastWorkerWaitLimit)
 }
