--- a/internal/httpserve/conn.go
+++ b/internal/httpserve/conn.go
@@ -223,7 +223,7 @@
 		if len(data) == 0 && c.refused == nil {
 			return true
 		}
-		for end := time.Now().Add(maxScarcePause); c.server.limits.Budget.Scarce() && time.Now().Before(end); {
+		for end := time.Now().Add(maxScarcePause); c.server.limits.Scarce() && time.Now().Before(end); {
 			time.Sleep(scarcePause)
 		}
 		c.request.began = sinceStart()
--- a/internal/httpserve/limits.go
+++ b/internal/httpserve/limits.go
@@ -71,6 +71,8 @@
 	Connections int
 	// Budget is the memory for unfinished requests and unread responses, usually shared by several servers; nil means one of 32 MiB.
 	Budget *membudget.Budget
+	// Scarce returns whether the process holds so much memory that requests should begin more slowly; nil means never.
+	Scarce func() bool
 	// Refusals counts refusals, usually of several servers; nil means that they are logged only.
 	Refusals *Refusals
 }
@@ -85,6 +87,9 @@
 	if l.Budget == nil {
 		l.Budget = membudget.New(defaultPart, defaultPool)
 	}
+	if l.Scarce == nil {
+		l.Scarce = func() bool { return false }
+	}
 	if l.Refusals == nil {
 		l.Refusals = NewRefusals(log, func(string) {})
 	}
--- a/internal/membudget/membudget.go
+++ b/internal/membudget/membudget.go
@@ -8,7 +8,6 @@
 
 import (
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -34,7 +33,6 @@
 // Budget is the memory for the unfinished requests of all connections. Its methods may be called concurrently.
 type Budget struct {
 	part, pool int64
-	scarce     atomic.Bool
 
 	mu        sync.Mutex
 	taken     int64 // from the pool
@@ -48,13 +46,6 @@
 	return &Budget{part: part, pool: pool, holders: map[*Account]struct{}{}}
 }
 
-// SetScarce states whether the process as a whole holds more memory than it should, whatever the accounts say: the garbage of requests that are served
-// quickly isn't in any account.
-func (b *Budget) SetScarce(scarce bool) { b.scarce.Store(scarce) }
-
-// Scarce returns whether requests should begin more slowly.
-func (b *Budget) Scarce() bool { return b.scarce.Load() }
-
 // Part returns what each account may always hold, in bytes.
 func (b *Budget) Part() int64 { return b.part }
 
