--- a/review/sim3/main.go
+++ b/review/sim3/main.go
@@ -20,12 +20,13 @@
 }
 
 var scenarios = map[string]scenario{
-	"copies":  {kinds: kindsOf(12, 2), bounds: kingston, play: playCopies},
-	"crashes": {kinds: kindsOf(14, 0), bounds: kingston, play: playCrashes},
-	"lasting": {kinds: kindsOf(14, 0), bounds: kingston, play: playLasting},
-	"leaving": {kinds: kindsOf(14, 0), bounds: sadyPlan, play: playLeaving},
-	"waiting": {kinds: kindsOf(12, 2), bounds: kingston, play: playWaiting},
-	"waves":   {kinds: kindsOf(14, 0), bounds: kingston, cloud: true, play: playWaves},
+	"copies":   {kinds: kindsOf(12, 2), bounds: kingston, play: playCopies},
+	"crashes":  {kinds: kindsOf(14, 0), bounds: kingston, play: playCrashes},
+	"lasting":  {kinds: kindsOf(14, 0), bounds: kingston, play: playLasting},
+	"leaving":  {kinds: kindsOf(14, 0), bounds: sadyPlan, play: playLeaving},
+	"unwanted": {kinds: kindsOf(14, 0), bounds: kingston, play: playUnwanted},
+	"waiting":  {kinds: kindsOf(12, 2), bounds: kingston, play: playWaiting},
+	"waves":    {kinds: kindsOf(14, 0), bounds: kingston, cloud: true, play: playWaves},
 }
 
 // kindsOf returns the kinds of a executors of kind "a" and b of kind "b".
--- a/review/sim3/world.go
+++ b/review/sim3/world.go
@@ -55,7 +55,8 @@
 	began     time.Time
 	dir       string
 	hosts     []*host
-	cloud     *cloud                     // nil: no API for machines
+	cloud     *cloud // nil: no API for machines
+	platform  *lossyStore
 	onStart   func(e *executor, o order) // called when a run starts; may be nil
 
 	mu         sync.Mutex
@@ -86,7 +87,8 @@
 	}
 	w.store.Put(rowstore.Key{Table: "op", Key: "config"}, []byte(config))
 	ln := listen()
-	go func() { _ = http.Serve(ln, platformtest.StoreHandler(w.store)) }()
+	w.platform = &lossyStore{w: w, inner: platformtest.StoreHandler(w.store)}
+	go func() { _ = http.Serve(ln, w.platform) }()
 	for i, kind := range kinds {
 		w.executors = append(w.executors, startExecutor(w, fmt.Sprintf("i-%02d", i), kind, fmt.Sprintf("r1-%d", i/8)))
 	}
