Log and count each copy of an order

Only the result of the whole order was logged.

A copy that gets no response is logged with its time, and a copy that is withheld with the reason.

TestLogTellsOfLostCopiesOfAStart expected its line to be the first one; it expects it after the lines of the lost copies now.

--- a/internal/batchhost/host_test.go
+++ b/internal/batchhost/host_test.go
@@ -64,6 +64,8 @@
 func (discardMetrics) Planned(time.Duration)                                  {}
 func (discardMetrics) Locked(time.Duration)                                   {}
 func (discardMetrics) RowsWaited(time.Duration)                               {}
+func (discardMetrics) CopySent(dispatch.Order, dispatch.Result)               {}
+func (discardMetrics) CopyWithheld(dispatch.Order, string)                    {}
 func (discardMetrics) Ordered(dispatch.Order, dispatch.Result, time.Duration) {}
 func (discardMetrics) Counted(dispatch.Counts)                                {}
 func (discardMetrics) Leading(uint64)                                         {}
--- a/internal/dispatch/delivery_test.go
+++ b/internal/dispatch/delivery_test.go
@@ -132,7 +132,7 @@
 		r, o, hook := orderedStart(t, c.responses...)
 		hook.Reset()
 		r.send(context.Background(), o)
-		line := hook.Entries[0]
+		line := hook.Entries[c.lost] // after a line for each lost copy
 		must.Eq(t, "start not confirmed", line.Message)
 		for field, want := range (logrus.Fields{"result": c.result, "response": c.response, "unanswered_copies": c.lost}) {
 			must.Eq(t, want, line.Data[field], must.Sprintf("%s after %v", field, c.responses))
@@ -140,6 +140,26 @@
 	}
 }
 
+// Guards against a log that doesn't tell a late copy of a start from one that was sent again.
+func TestLogTellsOfEachCopyOfAStart(t *testing.T) {
+	r, o, hook := orderedStart(t, Unknown, Unknown)
+	hook.Reset()
+	r.workers = lossyWorkers{attempt: func(Order) Result {
+		r.core.bounds.Evacuation = time.Second
+		r.operatorAge = func() time.Duration { return time.Minute }
+		return Unknown
+	}}
+	r.send(context.Background(), o)
+	var lines []string
+	for _, e := range hook.AllEntries()[:2] {
+		must.Eq(t, o.Task, e.Data["task"].(string))
+		must.Eq(t, o.Run, e.Data["run"].(int))
+		must.Eq(t, "start", e.Data["kind"].(string))
+		lines = append(lines, fmt.Sprint(e.Message, e.Data["reason"]))
+	}
+	must.Eq(t, []string{"copy of an order got no response<nil>", "copy of an order withheldoperator_table_stale"}, lines)
+}
+
 // Guards against a worker that gets no new work for ever: a renewal that waited for the end of a run failed after the worker's last run was closed.
 func TestWorkerIsRenewedUntilItRespondsEvenWithoutRuns(t *testing.T) {
 	r, o, _ := orderedStart(t, Unhealthy)
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -83,13 +83,6 @@
 // evacuated reports whether the worker is in a failure domain that is evacuated.
 func (c *Core) evacuated(w *worker) bool { return c.evacuations[w.Domain] }
 
-// maySendStart reports whether a copy of a start may still be sent, given the age of the copy of the operator's table. The worker may have another entry than
-// when the start was ordered.
-func (c *Core) maySendStart(o *Order, operatorAge time.Duration) bool {
-	w := c.workers[o.Worker.ID]
-	return operatorAge <= c.bounds.maxOperatorAge() && !c.evacuations[o.Worker.Domain] && (w == nil || !c.evacuated(w))
-}
-
 // withdrawEvacuated withdraws a start that isn't ordered yet if its worker is evacuated, and reports whether it did.
 func (c *Core) withdrawEvacuated(t *task, w *worker, now time.Duration) bool {
 	if !c.evacuated(w) {
@@ -120,11 +113,3 @@
 
 // SetOperatorAge sets the function that returns the age of the copy of the operator's table. It must be called before Run.
 func (r *Runner) SetOperatorAge(age func() time.Duration) { r.operatorAge = age }
-
-// maySendStart reports whether a copy of a start may still be sent. It is called right before sending, since the process may have been paused and an
-// evacuation requested after the start was ordered.
-func (r *Runner) maySendStart(o *Order) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.mayAct() && r.core.maySendStart(o, r.operatorAge())
-}
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -24,6 +24,14 @@
 // allowed reports whether a copy of the order may be sent now.
 func (o *Order) allowed() bool { return o.StillAllowed == nil || o.StillAllowed() }
 
+// Kind returns the name of what is ordered, for logs and metrics.
+func (o *Order) Kind() string {
+	if o.Stop {
+		return "stop"
+	}
+	return "start"
+}
+
 // Result is the outcome of an order.
 type Result uint8
 
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -100,6 +100,10 @@
 	Locked(waited time.Duration)
 	// RowsWaited receives how long the oldest row of a transaction had waited before it was sent.
 	RowsWaited(waited time.Duration)
+	// CopySent receives the result of one copy of an order.
+	CopySent(o Order, r Result)
+	// CopyWithheld receives why a copy of an order was not sent.
+	CopyWithheld(o Order, reason string)
 	Ordered(o Order, r Result, took time.Duration)
 	Counted(Counts)
 }
@@ -257,9 +261,6 @@
 	r.metrics.Locked(r.clock.SinceBoot() - began)
 }
 
-// mayAct is hasAuthority for a check right before an order is sent: the process may have been paused since the order was decided.
-func (r *Runner) mayAct() bool { return r.clock.SinceBoot()-r.lastWrite() < authorityAfterCommit }
-
 // hasAuthority reports whether the leader may still give orders: its last successful transaction is recent enough.
 func (r *Runner) hasAuthority(now time.Duration) bool {
 	active := r.leadErr == nil && now-r.lastWrite() < authorityAfterCommit
@@ -287,9 +288,9 @@
 	sent := r.clock.SinceBoot()
 	if !o.Stop {
 		start := o
-		o.StillAllowed = func() bool { return r.maySendStart(&start) }
+		o.StillAllowed = func() bool { return r.mayBeSent(&start) }
 	}
-	d := Deliver(o, func(o Order) Result { return r.workers.Order(ctx, o) })
+	d := Deliver(o, func(o Order) Result { return r.sendCopy(ctx, o) })
 	r.metrics.Ordered(o, d.Result, r.clock.SinceBoot()-sent)
 	if ctx.Err() != nil {
 		return
--- a/internal/dispatch/runner_test.go
+++ b/internal/dispatch/runner_test.go
@@ -20,6 +20,8 @@
 func (noMetrics) Locked(time.Duration)                 {}
 func (noMetrics) RowsWaited(time.Duration)             {}
 func (noMetrics) Ordered(Order, Result, time.Duration) {}
+func (noMetrics) CopySent(Order, Result)               {}
+func (noMetrics) CopyWithheld(Order, string)           {}
 func (noMetrics) Counted(Counts)                       {}
 
 type realClock struct{ start time.Time }
