Limit the time in which a copy of a start may be carried out

Cause: a start named a lease that ended 3 s after it was ordered, so that its worker took each copy that came by then. The sender waits 0.7 s for a response and then stops the run.

Each copy names a lease that ends 1 s after that copy is sent, and its worker refuses it later. The lease of the run comes from the renewal that goes out beside the start. The end of the lease is computed with the rate of an accurate clock: with that of the slowest one, a worker that was idle for 50 s would refuse each start.

--- a/internal/dispatch/copies.go
+++ b/internal/dispatch/copies.go
@@ -56,6 +56,11 @@
 // sendCopy sends one copy of an order.
 func (r *Runner) sendCopy(ctx context.Context, o Order) Result {
 	began := r.clock.SinceBoot()
+	if !o.Stop {
+		r.mu.Lock()
+		r.core.limitValidity(&o, began)
+		r.mu.Unlock()
+	}
 	result := r.workers.Order(ctx, o)
 	r.metrics.CopySent(o, result)
 	if result == Unknown {
--- a/internal/dispatch/runs.go
+++ b/internal/dispatch/runs.go
@@ -9,9 +9,9 @@
 	"samphirewell/internal/batch"
 )
 
-// startLease is the length of the lease that a start carries. The next renewal extends it. A start that got no response can no longer run once this
-// lease has expired. It exceeds the longest renewal call (2 s), which may be in flight when the run starts.
-const startLease = 3 * time.Second
+// startValidity is how long after it is sent a copy of a start may be carried out: it names a lease of that length, and the worker refuses it once that has ended.
+// It exceeds the time that the sender waits for a response (0.7 s). The renewal that is sent beside the start keeps the run alive.
+const startValidity = time.Second
 
 // outcome is why a run ended.
 type outcome string
@@ -237,15 +237,25 @@
 	if t.group.suspected() {
 		w.closedUntil = now + crashWindow
 	}
-	lease := w.minClock(now) + startLease
-	w.leaseEnd = max(w.leaseEnd, lease)
 	c.logTask(t).WithFields(logrus.Fields{"waited_ms": (now - t.group.readySince).Milliseconds(), "resume": t.resumed,
 		"priority": t.group.job.Queue.Priority, "standing": c.objectiveStatus(t.group.job, now).String(), "core_equivalents": int(t.group.spec().Need.CoreEquivalents()),
 		"gang_size": len(t.group.tasks), "slowness": rounded(c.slowness(w))}).Info("starting run")
 	c.counts.Starts = append(c.counts.Starts, StartCount{t.group.job.Queue.Priority, now - t.group.readySince})
 	c.pollWakeups = append(c.pollWakeups, w.ID)
-	c.orders = append(c.orders, Order{Worker: w.Worker, Epoch: c.epoch, Task: t.name, Run: run, Payload: t.group.job.Payload,
-		LeaseEnd: lease, Resume: resume, Ticket: t.ticketFor(w, now)})
+	o := Order{Worker: w.Worker, Epoch: c.epoch, Task: t.name, Run: run, Payload: t.group.job.Payload, Resume: resume, Ticket: t.ticketFor(w, now)}
+	c.limitValidity(&o, now)
+	c.orders = append(c.orders, o)
+}
+
+// limitValidity sets the lease of a copy of a start that is sent now. Its end is computed with the rate of an accurate clock, since a worker that was idle for
+// long would otherwise refuse the start.
+func (c *Core) limitValidity(o *Order, now time.Duration) {
+	w := c.workers[o.Worker.ID]
+	if w == nil || !w.contacted || o.Worker.Incarnation != w.Incarnation {
+		return // the worker refuses an order for another incarnation
+	}
+	o.LeaseEnd = w.lastClock + now - w.lastContact + startValidity
+	w.leaseEnd = max(w.leaseEnd, o.LeaseEnd)
 }
 
 // holds reports whether the worker has the capacity for its runs in each resource that need names, where need is that of one of these runs.
