Repeat an order only while it is wanted

Cause: up to three copies of a start are sent while no response arrives. Before each copy the authority of the leader and evacuations were checked, but not whether the run was still wanted; the goroutine that sends them doesn't learn that the task is done.

A start isn't sent if its run isn't current, is stopped, has ended or is listed, if the worker drains or its capacity may be outdated, or if the leader was replaced or releases leadership; a stop isn't sent if the run is over or the leader has no authority, and what wasn't sent confirms nothing. A maintenance order that waited for a connection is checked in the same way.

--- a/internal/dispatch/machines.go
+++ b/internal/dispatch/machines.go
@@ -79,7 +79,7 @@
 	m.StillAllowed = func() bool {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		return r.hasMachineAuthority()
+		return r.hasMachineAuthority() && r.core.wantsMaintenance(m)
 	}
 	result := r.machines.Maintain(ctx, m)
 	if ctx.Err() == nil {
--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -454,6 +454,13 @@
 	c.maintenance = append(c.maintenance, Maintenance{Wave: w.ID, Machine: id, Epoch: c.epoch})
 }
 
+// wantsMaintenance reports whether a maintenance order is still to be sent: the machine may have been removed from the list or have begun its maintenance
+// while the order waited for a connection.
+func (c *Core) wantsMaintenance(m Maintenance) bool {
+	w := c.waves[m.Wave]
+	return w != nil && w.phases[m.Machine] == machineOrdered && !w.confirmed[m.Machine] && !c.startsDisabled && !c.deposed
+}
+
 // handleMachineDown closes all runs on a machine that is down. The registry lists its worker for some more seconds; starts there would get no
 // response, and their tasks would wait for the worker's leases to expire. A later incarnation of the worker may have started after the maintenance,
 // since a repeated order is also confirmed if the maintenance is over.
--- a/internal/dispatch/orders.go
+++ b/internal/dispatch/orders.go
@@ -17,7 +17,7 @@
 	Resume   string        // of a start: checkpoint, or empty
 	Ticket   string        // of a start: permission of the adviser, or empty
 	Stop     bool          // a stop instead of a start
-	// StillAllowed is called right before a copy of a start is sent; if it returns false, the copy is not sent and its result is TooLate. Nil always allows it.
+	// StillAllowed is called right before a copy is sent; if it returns false, the copy is not sent and its result is TooLate. Nil always allows it.
 	StillAllowed func() bool
 }
 
@@ -40,7 +40,7 @@
 	Accepted   Result = iota + 1
 	Deposed           // the worker has seen a newer epoch
 	Superseded        // this or a newer run has ended there or was stopped
-	TooLate           // the lease had ended
+	TooLate           // the lease had ended, or StillAllowed forbade the copy
 	InsufficientCapacity
 	NoTicket         // the ticket is missing or has expired
 	Unhealthy        // the worker refused and has done nothing
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -124,7 +124,7 @@
 		return
 	}
 	w := c.workers[o.Worker.ID]
-	if w == nil || r == Unknown || r == NotSent || r == NoConnection || r == Unhealthy || o.Worker.Incarnation != w.Incarnation {
+	if w == nil || !r.confirmsStop() || o.Worker.Incarnation != w.Incarnation {
 		return // an earlier incarnation may have confirmed it
 	}
 	k := runKey{o.Task, o.Run}
@@ -137,6 +137,11 @@
 	c.requestRenewal(w)
 }
 
+// confirmsStop reports whether a result of a stop tells that the worker has carried it out.
+func (r Result) confirmsStop() bool {
+	return r != Unknown && r != NotSent && r != NoConnection && r != Unhealthy && r != TooLate
+}
+
 func (c *Core) depose(reason, worker string) {
 	if !c.deposed {
 		c.log.WithFields(logrus.Fields{"epoch": c.epoch, "worker": worker, "why": reason}).Warn("another host leads")
--- a/internal/dispatch/runner.go
+++ b/internal/dispatch/runner.go
@@ -286,10 +286,8 @@
 
 func (r *Runner) send(ctx context.Context, o Order) {
 	sent := r.clock.SinceBoot()
-	if !o.Stop {
-		start := o
-		o.StillAllowed = func() bool { return r.mayBeSent(&start) }
-	}
+	order := o
+	o.StillAllowed = func() bool { return r.mayBeSent(ctx, &order) }
 	d := Deliver(o, func(o Order) Result { return r.sendCopy(ctx, o) })
 	r.metrics.Ordered(o, d.Result, r.clock.SinceBoot()-sent)
 	if ctx.Err() != nil {
--- a/internal/dispatch/system_test.go
+++ b/internal/dispatch/system_test.go
@@ -50,6 +50,7 @@
 	frozen        bool
 	nextRenewalAt map[string]time.Duration
 	plan          *CyclePlan // prepared, not applied yet
+	slow          []*slowDelivery
 }
 
 // system runs leaders against a fake fleet and a store in memory, in steps of testStep.
@@ -64,6 +65,8 @@
 	outage  bool // nothing can be stored
 	// evacuations is the set of evacuated failure domains that all leaders know, see evacuate.
 	evacuations []string
+	// slowCopies sends the copies of an order apart in time instead of at once.
+	slowCopies bool
 	// stalePlans applies each plan one step after it was prepared.
 	stalePlans bool
 }
@@ -147,12 +150,15 @@
 		case !hasAuthority && !o.Stop:
 			l.core.OnStart(o, Delivery{Result: TooLate}, now)
 		case !hasAuthority:
+		case s.slowCopies:
+			s.deliverSlowly(l, o)
 		case o.Stop:
 			l.core.OnStop(o, Deliver(o, s.fleet.order).Result, now)
 		default:
 			l.core.OnStart(o, Deliver(o, s.fleet.order), now)
 		}
 	}
+	s.stepDeliveries(l)
 	if hasAuthority {
 		s.renewLeases(l)
 	}
