Log the age of a submission when its job is queued

The logs of the hosts show the submission without a result and the cancelling, but not that the job which the leader queues is that old submission: the table carried out its transaction 6 s late. The line of the leader tells the age now.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -237,7 +237,7 @@
 	}
 	n := c.insert(j, now)
 	c.put(stateRow(j.ID))
-	c.logJob(n).Info("job queued")
+	c.logJob(n).WithField("age_ms", ageOf(&j, c.wallMS()).Milliseconds()).Info("job queued")
 	c.openSteps(n, now)
 }
 
--- a/internal/dispatch/delivery_test.go
+++ b/internal/dispatch/delivery_test.go
@@ -140,6 +140,18 @@
 	}
 }
 
+// Guards against a log that doesn't show that a submission took effect long after a host had received it.
+func TestLogTellsTheAgeOfASubmission(t *testing.T) {
+	log, hook := logtest.NewNullLogger()
+	core := New(1, testPolicy(), testBounds, log)
+	core.Tick(0, 9000)
+	j := simpleJob("j", "normal", 1, 1, smallNeed)
+	j.AcceptedMS = 3000
+	core.AddJob(j, 0)
+	must.Eq(t, "job queued", hook.LastEntry().Message)
+	must.Eq(t, int64(6000), hook.LastEntry().Data["age_ms"].(int64))
+}
+
 // Guards against a log that doesn't tell a late copy of a start from one that was sent again.
 func TestLogTellsOfEachCopyOfAStart(t *testing.T) {
 	r, o, hook := orderedStart(t, Unknown, Unknown)
