--- a/internal/batchhost/evacuation_test.go
+++ b/internal/batchhost/evacuation_test.go
@@ -29,7 +29,7 @@
 // FollowOperator implements Sources.
 func (s *domainSources) FollowOperator(ctx context.Context, policy func(*batch.Policy), _ func([]batch.Wave), evacuations func([]string)) {
 	evacuations([]string{"a"})
-	p := &batch.Policy{Version: 1, Queues: []batch.Queue{{Name: "q", Service: "svc", Attempts: 3, Stretch: 3}}, Services: []batch.Service{{Name: "svc", EnforcesCapacity: true}}}
+	p := &batch.Policy{Version: 1, Queues: []batch.Queue{{Name: "q", Service: "svc", Attempts: 3, Stretch: 3, Public: true}}, Services: []batch.Service{{Name: "svc", EnforcesCapacity: true}}}
 	policy(p.Index())
 	s.evacuations <- evacuations
 	<-ctx.Done()
--- a/internal/batchhost/host.go
+++ b/internal/batchhost/host.go
@@ -87,7 +87,7 @@
 	leaderWatch    *lead.Watch
 	statesFollower *rowstore.Follower
 	hosts          hostList
-	markers        *intake.Markers // while leading
+	markers        *intake.Markers // kept up to date while leading
 
 	mu     sync.Mutex
 	bounds dispatch.Bounds
--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -137,7 +137,7 @@
 	c.requestRenewal(w)
 }
 
-// confirmsStop reports whether a result of a stop tells that the worker has carried it out.
+// confirmsStop reports whether a result of a stop tells that the worker has carried it out. TooLate means that the stop was not sent.
 func (r Result) confirmsStop() bool {
 	return r != Unknown && r != NotSent && r != NoConnection && r != Unhealthy && r != TooLate
 }
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -75,7 +75,7 @@
 	leader    Leader
 	log       logrus.FieldLogger
 	now       func() time.Time
-	sinceBoot func() time.Duration
+	sinceBoot func() time.Duration // see dispatch.Clock
 	markers   markerBudget
 }
 
@@ -220,8 +220,8 @@
 	if len(value) > in.maxRow {
 		return Reply{Code: Malformed, Reason: fmt.Sprintf("the job takes %d bytes as it is stored, at most %d are possible", len(value), in.maxRow)}
 	}
-	key, markerKey := jobKey(j.ID), markerKey(j.ID, j.Queue.Name, j.Team)
-	tx := rowstore.Tx{Conditions: []rowstore.Condition{{Key: key}, {Key: markerKey}}, Puts: []rowstore.Row{{Key: key, Value: value}}}
+	key, cancelled := jobKey(j.ID), markerKey(j.ID, j.Queue.Name, j.Team)
+	tx := rowstore.Tx{Conditions: []rowstore.Condition{{Key: key}, {Key: cancelled}}, Puts: []rowstore.Row{{Key: key, Value: value}}}
 	r, err := in.commit(ctx, c.Deadline, tx, func() bool { return in.sinceBoot()-arrived < submissionLifetime })
 	if err != nil {
 		return storeErrorReply(err)
@@ -237,7 +237,7 @@
 		}
 		return duplicateReply(e.Job.Queue.Name == j.Queue.Name, "already_stored")
 	}
-	if _, ok := findRow(r.Current, markerKey); ok {
+	if _, ok := findRow(r.Current, cancelled); ok {
 		// No earlier attempt can have taken effect: the marker would not have been written.
 		return Reply{Code: Unavailable, Reason: "cancelled", RetryAfter: markerRetention}
 	}
