Move long-running tasks off a draining worker before it leaves

Cause: runs of long-running steps were left out where runs that can't end on a draining worker are stopped. They ended with the worker, and started again when its leases had certainly passed.

A long-running run is stopped shortly before its worker leaves, as one with checkpoints, and starts elsewhere at once.

--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -76,9 +76,10 @@
 	switch {
 	case t.phase == stopping && now-t.stopOrderedAt > stopRetryInterval && (!t.stopConfirmed || now-t.stopOrderedAt > stopRetryInterval+c.bounds.StopMax):
 		return runActionRepeatStop
-	case t.phase != running || t.group.spec().LongRunning:
+	case t.phase != running:
 	case w.Draining && c.mustLeaveDraining(w, t, now):
 		return runActionLeave
+	case t.group.spec().LongRunning:
 	case w.contacted && t.percent < 100 && w.listedRunningAt(t)-t.progressAt > hangTimeout && w.listedRunningAt(t)-t.progressAt > c.hangBound(t) && t.group.allInPhase(running):
 		return runActionMove
 	}
@@ -111,13 +112,14 @@
 }
 
 // mustLeaveDraining reports whether a run on a draining worker can't finish there and should be stopped now. A run without checkpoints would lose its
-// work anyway and is stopped immediately; one with checkpoints is stopped shortly before the worker ends.
+// work anyway and is stopped immediately; one with checkpoints or of a long-running step is stopped shortly before the worker ends.
 func (c *Core) mustLeaveDraining(w *worker, t *task, now time.Duration) bool {
 	workerTimeLeft := w.drainingSince + w.Remaining - now
-	if c.remaining(t, now) < workerTimeLeft-drainReserve {
+	spec := t.group.spec()
+	if !spec.LongRunning && c.remaining(t, now) < workerTimeLeft-drainReserve {
 		return false
 	}
-	if t.group.spec().Checkpoints {
+	if spec.Checkpoints || spec.LongRunning {
 		return workerTimeLeft < drainReserve+c.bounds.StopMax
 	}
 	return true
