--- a/internal/dispatch/draining_test.go
+++ b/internal/dispatch/draining_test.go
@@ -47,3 +47,22 @@
 		})
 	}
 }
+
+// Guards against runs that are stopped long before a draining worker leaves, because the time that has passed is taken off a remaining time that the worker
+// has updated since.
+func TestRemainingTimeOfADrainingWorkerIsThatOfItsNewestEntry(t *testing.T) {
+	s := newSystem(t, 1, 1, 2)
+	s.submit(longJob("j", "batch", 2, 1, wholeWorker))
+	s.run(time.Second)
+	leaving := s.fleet.workers[s.fleet.runsOf("j")[0]]
+	leaving.Draining = true
+	for left := 6 * time.Second; left > time.Second; left -= time.Second {
+		leaving.Remaining = left
+		s.run(time.Second)
+		must.MapLen(t, 1, leaving.running, must.Sprint(left-time.Second, " left"))
+	}
+	leaving.Remaining = time.Second
+	s.run(time.Second)
+	must.MapEmpty(t, leaving.running)
+	s.mustHaveNoViolations()
+}
