Take back the newest remaining time of a draining worker

Suspected, not traced: runs without checkpoints are stopped later on a draining worker, when more of their work is lost.

--- a/internal/dispatch/reports.go
+++ b/internal/dispatch/reports.go
@@ -473,10 +473,8 @@
 		c.setIncarnation(w, e.Incarnation, now)
 		w.incarnationAt = now
 	}
-	if e.Draining && (!w.Draining || e.Remaining != w.Remaining) {
-		w.leavesAt = now + e.Remaining
-	}
 	if e.Draining && !w.Draining {
+		w.drainingSince = now
 		c.log.WithFields(logrus.Fields{"worker": w.ID, "remaining_ms": e.Remaining.Milliseconds(), "runs": len(w.allocs)}).Info("worker is draining")
 	}
 	if e.Incarnation > w.entryIncarnation || earlier {
--- a/internal/dispatch/tick.go
+++ b/internal/dispatch/tick.go
@@ -114,7 +114,7 @@
 // mustLeaveDraining reports whether a run on a draining worker can't finish there and should be stopped now. A run without checkpoints would lose its
 // work anyway and is stopped immediately; one with checkpoints or of a long-running step is stopped shortly before the worker ends.
 func (c *Core) mustLeaveDraining(w *worker, t *task, now time.Duration) bool {
-	workerTimeLeft := w.leavesAt - now
+	workerTimeLeft := w.drainingSince + w.Remaining - now
 	spec := t.group.spec()
 	if !spec.LongRunning && c.remaining(t, now) < workerTimeLeft-drainReserve {
 		return false
